--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -1,10 +1,11 @@
 //! Hosts the routers of one process: reads a batch, feeds each event to its router, writes the actions.
-use crate::settings::{self, Translation, array, field, flag, micros, number, text, whole};
-use lapisturn::{
+use decision::{
     Action, Event, GroupId, MemberEntry, MemberId, MemberState, Micros, Outcome, Report, Request, RequestId,
     Router, SessionId, Time,
 };
 use serde_json::{Value, json};
+use settings::fields::{array, field, flag, micros, number, text, whole};
+use settings::platform::{self, Translation};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -109,7 +110,7 @@
 
 impl Instance {
     fn new(v: &Value, seed: u64) -> Result<Self, String> {
-        let (settings, translation) = settings::read(v)?;
+        let (settings, translation) = platform::read(v)?;
         Ok(Instance {
             router: Router::new(settings, seed),
             translation,
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,7 +1,6 @@
-//! Hosts lapisturn routers behind the line-based JSON wire: batches of events on standard input, one
+//! Hosts damsonvale routers behind the line-based JSON wire: batches of events on standard input, one
 //! reply line for each on standard output. It translates and decides nothing.
 mod host;
-mod settings;
 
 use std::io::{BufRead, Write};
 
@@ -32,7 +31,7 @@
     match run() {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("lapisturn-adapter: {e}");
+            eprintln!("damsonvale-adapter: {e}");
             std::process::ExitCode::FAILURE
         }
     }
--- a/adapter/tests/transcript.rs
+++ b/adapter/tests/transcript.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lapisturn-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_damsonvale-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/decide.rs
+++ b/decision/src/decide.rs
@@ -1,4 +1,4 @@
-//! Every decision of lapisturn. Its settings, events and actions are defined in `src/interface.rs`.
+//! Every decision of damsonvale. Its settings, events and actions are defined in `src/interface.rs`.
 //!
 //! Ordinary path: writes and fresh reads to the primary, other reads to the fresh-enough replica with
 //! the fewest attempts in flight here (ties random), members banned for a while after failure signals.
--- a/src/lib.rs
+++ b/decision/src/lib.rs
@@ -1,11 +1,11 @@
-//! lapisturn makes the decisions of a proxy in front of a primary and its replicas.
+//! damsonvale makes the decisions of a proxy in front of a primary and its replicas.
 //!
 //! A [`Router`] holds all state of one driver. It does no I/O, reads no clock and starts no thread: the driver
 //! hands it each [`Event`] with the time and carries out the [`Action`]s in order. The same seed and events
 //! give the same actions.
 //!
 //! ```
-//! use lapisturn::*;
+//! use decision::*;
 //!
 //! // A driver's loop, cut down to two members and one read.
 //! let ms = 1000;
--- a/tests/common/mod.rs
+++ b/decision/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A router with a clock and what it has done so far.
 #![allow(dead_code)]
-use lapisturn::*;
+use decision::*;
 
 pub const MS: i64 = 1000;
 pub const G: GroupId = GroupId(7);
--- a/tests/failures.rs
+++ b/decision/tests/failures.rs
@@ -1,7 +1,7 @@
 //! One small test for each failure found, named after its symptom.
 mod common;
 use common::*;
-use lapisturn::*;
+use decision::*;
 
 const KEYED: Effect = Effect::KeyedInGroup(3000 * MS);
 
--- a/tests/random.rs
+++ b/decision/tests/random.rs
@@ -2,7 +2,7 @@
 //! The rule of the cold member needs rates; its tests stand in failures.rs.
 mod common;
 use common::*;
-use lapisturn::*;
+use decision::*;
 use std::collections::BTreeMap;
 
 struct Open {
--- /dev/null
+++ b/discovery/src/lib.rs
@@ -0,0 +1,1 @@
+//! discovery
--- /dev/null
+++ b/postgres/src/lib.rs
@@ -0,0 +1,1 @@
+//! postgres
--- /dev/null
+++ b/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! routing
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,6 @@
+//! The one place where configuration is read, checked and given its defaults.
+//!
+//! The platform's JSON is read here for the router and for the simulator's adapter alike, so that both
+//! run on the same settings. Messages name the key that is at fault.
+pub mod fields;
+pub mod platform;
