--- /dev/null
+++ b/discovery/src/entries.rs
@@ -0,0 +1,63 @@
+//! Discovery's lines of JSON as news for the list.
+use routing::{Entry, GroupId, ListNews, MemberState, Time};
+use serde_json::Value;
+use settings::fields::{array, flag, text, whole};
+
+/// Reads lists; numbers the zones by the names that the settings give.
+pub struct Reader {
+    zones: Vec<String>,
+}
+
+impl Reader {
+    /// A reader for these zones; others get numbers after them.
+    pub fn new(zones: Vec<String>) -> Self {
+        Reader { zones }
+    }
+
+    /// One line.
+    pub fn read(&mut self, line: &[u8]) -> Result<ListNews, String> {
+        let v: Value = serde_json::from_slice(line).map_err(|e| format!("expected JSON: {e}"))?;
+        self.news(&v)
+    }
+
+    /// A list or a change.
+    pub fn news(&mut self, v: &Value) -> Result<ListNews, String> {
+        let servers = array(v, "servers")?;
+        let entries = servers.iter().map(|s| self.entry(s)).collect::<Result<_, _>>()?;
+        Ok(ListNews { version: whole(v, "version")?, complete: flag(v, "full")?, entries })
+    }
+
+    fn entry(&mut self, v: &Value) -> Result<Entry, String> {
+        let id = text(v, "id")?.to_string();
+        let named = |e: String| format!("server {id}: {e}");
+        let state = match text(v, "state").map_err(named)? {
+            "in_service" => MemberState::Ready,
+            "terminating" => MemberState::Draining,
+            "terminated" => MemberState::Gone,
+            x => return Err(format!("server {id}: expected a known 'state', found '{x}'")),
+        };
+        let addr = text(v, "addr").map_err(named)?;
+        let addr =
+            addr.parse().map_err(|_| format!("server {id}: expected ip:port in 'addr', found '{addr}'"))?;
+        let started = v.get("started_ms").and_then(Value::as_f64).filter(|ms| *ms > 0.0);
+        let zone = self.zone(v.get("zone").and_then(Value::as_str).unwrap_or(""));
+        Ok(Entry {
+            addr,
+            group: GroupId(whole(v, "cell").map_err(named)? as u32),
+            zone,
+            state,
+            primary: v.get("mode").and_then(Value::as_str) == Some("read-write"),
+            weight: v.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
+            started: started.map(|ms| Time((ms * 1000.0) as i64)),
+            id,
+        })
+    }
+
+    fn zone(&mut self, name: &str) -> u32 {
+        let at = self.zones.iter().position(|z| z == name).unwrap_or_else(|| {
+            self.zones.push(name.to_string());
+            self.zones.len() - 1
+        });
+        at as u32
+    }
+}
--- /dev/null
+++ b/postgres/src/front.rs
@@ -0,0 +1,377 @@
+//! The front for the platform's clients. Each connection has a reader, which hands requests to the module and
+//! notices a client that leaves, and a writer, which writes the answers in the order of the commands.
+use crate::link::Postgres;
+use crate::message::{Buffer, Frame, READY, push, push_error, push_parameter, write_gathered};
+use crate::statement::Statement;
+use crossbeam_channel::{Receiver, bounded};
+use routing::{Final, GroupId, Handle, Incoming, Outcome, RequestId, SessionId, Time, spawn};
+use settings::Limits;
+use std::collections::{HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What all connections of the front share.
+pub struct Front {
+    handle: Handle<Postgres>,
+    limits: Arc<Limits>,
+    classes: HashMap<Vec<u8>, usize>,
+    connections: Mutex<HashMap<u64, Arc<Connection>>>,
+    /// Connections are closed as soon as nothing is owed on them.
+    closing: AtomicBool,
+}
+
+struct Connection {
+    socket: TcpStream,
+    /// Commands read and not answered yet.
+    owed: AtomicUsize,
+}
+
+/// What the writer owes next.
+enum Owed {
+    Ready(Vec<u8>),
+    Answer(Given),
+}
+
+/// Where a request's final answer comes out.
+type Given = Receiver<Final<Vec<u8>>>;
+
+impl Front {
+    /// A front whose clients name these classes.
+    pub fn new(handle: Handle<Postgres>, limits: Arc<Limits>, classes: &[String]) -> Arc<Front> {
+        let classes = classes.iter().enumerate().map(|(i, c)| (c.clone().into_bytes(), i)).collect();
+        let (connections, closing) = (Mutex::default(), AtomicBool::new(false));
+        Arc::new(Front { handle, limits, classes, connections, closing })
+    }
+
+    fn connections(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Arc<Connection>>> {
+        self.connections.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Takes connections until `stop` says so; returns when the last one is closed or `most` has passed.
+    pub fn serve(self: &Arc<Self>, listener: TcpListener, stop: &Receiver<()>) -> io::Result<()> {
+        listener.set_nonblocking(false)?;
+        let (front, accepting) = (self.clone(), Arc::new(AtomicBool::new(true)));
+        let (on, own) = (accepting.clone(), listener.try_clone()?);
+        let (done, ended) = bounded::<()>(0);
+        let accept = move || {
+            front.accept(&own, &on);
+            drop((own, done));
+        };
+        spawn("accept", self.limits.stack_bytes, accept)?;
+        // Blocks until the signal comes, or for good if it never does.
+        _ = stop.recv();
+        eprintln!("front: shutting down, taking requests for {:?} more", self.limits.shutdown_grace);
+        let asked = Instant::now();
+        std::thread::sleep(self.limits.shutdown_grace);
+        accepting.store(false, Ordering::Release);
+        // A thread that waits in accept() hears of nothing but a connection: it gets one.
+        _ = listener.local_addr().and_then(|a| TcpStream::connect_timeout(&a, Duration::from_secs(1)));
+        _ = ended.recv_timeout(Duration::from_secs(1));
+        // What the kernel has accepted already is ours: it is taken before the listener closes.
+        listener.set_nonblocking(true)?;
+        let mut next = u64::MAX / 2;
+        while let Ok((socket, _)) = listener.accept() {
+            _ = socket.set_nonblocking(false);
+            next += 1;
+            self.admit(next, socket);
+        }
+        drop(listener);
+        self.closing.store(true, Ordering::SeqCst);
+        while asked.elapsed() < self.limits.shutdown_most {
+            let open: Vec<Arc<Connection>> = self.connections().values().cloned().collect();
+            if open.is_empty() {
+                break;
+            }
+            open.iter().for_each(|c| c.close_if_nothing_owed());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        eprintln!("front: shut down with {} connections left", self.connections().len());
+        Ok(())
+    }
+
+    fn accept(self: &Arc<Self>, listener: &TcpListener, accepting: &AtomicBool) {
+        let mut next = 0;
+        while accepting.load(Ordering::Acquire) {
+            match listener.accept() {
+                Ok((socket, _)) => {
+                    next += 1;
+                    _ = socket.set_nonblocking(false);
+                    self.make_room();
+                    self.admit(next, socket);
+                }
+                // Out of descriptors, a client that left at once, or the end of the listener.
+                Err(e) => {
+                    if e.kind() != io::ErrorKind::WouldBlock {
+                        eprintln!("front: cannot accept: {e}");
+                    }
+                    std::thread::sleep(Duration::from_millis(10));
+                }
+            }
+        }
+    }
+
+    /// At the bound, an idle connection makes room: one between two requests may be closed.
+    fn make_room(&self) {
+        let all = self.connections();
+        if all.len() >= self.limits.client_connections
+            && let Some(idle) = all.values().find(|c| c.owed.load(Ordering::SeqCst) == 0)
+        {
+            idle.close_if_nothing_owed();
+        }
+    }
+
+    fn admit(self: &Arc<Self>, id: u64, socket: TcpStream) {
+        _ = socket.set_nodelay(true);
+        _ = socket.set_write_timeout(Some(self.limits.client_write));
+        let connection = Arc::new(Connection { socket, owed: AtomicUsize::new(0) });
+        self.connections().insert(id, connection.clone());
+        let front = self.clone();
+        let run = move || {
+            front.talk(&connection);
+            _ = connection.socket.shutdown(Shutdown::Both);
+            front.connections().remove(&id);
+        };
+        if let Err(e) = spawn("client", self.limits.stack_bytes, run) {
+            eprintln!("front: no thread for a client: {e}");
+            self.connections().remove(&id);
+        }
+    }
+
+    /// Reads one connection to its end.
+    fn talk(self: &Arc<Self>, connection: &Arc<Connection>) {
+        let socket = &connection.socket;
+        let mut buffer = Buffer::new(self.limits.message_bytes);
+        match self.greet(&mut buffer, socket) {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(e) => return self.hang_up(socket, &e),
+        }
+        let (owe, owed) = bounded(self.limits.pipelined);
+        let (front, own) = (self.clone(), connection.clone());
+        let (done, ended) = bounded::<()>(0);
+        let writer = move || {
+            front.write(&own, &owed);
+            drop(done);
+        };
+        if spawn("answers", self.limits.stack_bytes, writer).is_err() {
+            return;
+        }
+        // Requests that may still be under way, for the case that the client leaves.
+        let mut under_way = VecDeque::with_capacity(self.limits.pipelined + 2);
+        let mut skip_to_sync = false;
+        let end = loop {
+            let frame = match buffer.next(socket) {
+                Ok(Some(f)) if f.tag != b'X' => f,
+                Ok(_) => break None,
+                Err(e) => break Some(e),
+            };
+            connection.owed.fetch_add(1, Ordering::SeqCst);
+            let next = self.command(&buffer, &frame, &mut under_way, &mut skip_to_sync);
+            match next {
+                Some(next) => {
+                    if owe.send(next).is_err() {
+                        break None;
+                    }
+                }
+                None => {
+                    connection.owed.fetch_sub(1, Ordering::SeqCst);
+                }
+            }
+        };
+        // A client that broke the protocol gets what it is owed and then hears why the connection ends.
+        if let Some(e) = end.filter(|e| e.kind() == io::ErrorKind::InvalidData) {
+            let mut text = Vec::new();
+            push_error(&mut text, "FATAL", "08P01", &e.to_string(), None);
+            connection.owed.fetch_add(1, Ordering::SeqCst);
+            _ = owe.send(Owed::Ready(text));
+        } else {
+            under_way.iter().for_each(|id| self.handle.left(*id));
+        }
+        drop(owe);
+        // The writer drops its end when it has written all.
+        _ = ended.recv();
+    }
+
+    fn hang_up(&self, socket: &TcpStream, error: &io::Error) {
+        if error.kind() == io::ErrorKind::InvalidData {
+            let mut text = Vec::new();
+            push_error(&mut text, "FATAL", "08P01", &error.to_string(), None);
+            _ = write_gathered(socket, &[&text]);
+        }
+    }
+
+    /// Reads the startup message and greets; `false` where the client wanted something else.
+    fn greet(&self, buffer: &mut Buffer, socket: &TcpStream) -> io::Result<bool> {
+        const SSL: u32 = 80_877_103;
+        const GSS: u32 = 80_877_104;
+        loop {
+            match buffer.startup(socket)?.map(|s| s.code) {
+                Some(SSL | GSS) => write_gathered(socket, &[b"N"])?,
+                Some(code) if code >> 16 == 3 => break,
+                // A CancelRequest needs no answer: a client gives a request up by leaving.
+                _ => return Ok(false),
+            }
+        }
+        write_gathered(socket, &[&greeting()])?;
+        Ok(true)
+    }
+
+    /// What is owed for one message, if anything.
+    fn command(
+        &self,
+        buffer: &Buffer,
+        frame: &Frame,
+        under_way: &mut VecDeque<RequestId>,
+        skip_to_sync: &mut bool,
+    ) -> Option<Owed> {
+        let mut ready = Vec::new();
+        match frame.tag {
+            b'Q' => return Some(self.query(buffer, frame, under_way)),
+            b'S' => {
+                *skip_to_sync = false;
+                ready.extend_from_slice(READY);
+            }
+            _ if *skip_to_sync => return None,
+            b'H' => return None,
+            tag => {
+                let text = "only simple queries are spoken here";
+                push_error(&mut ready, "ERROR", "0A000", text, None);
+                // The extended protocol skips what follows an error until its Sync.
+                *skip_to_sync = matches!(tag, b'P' | b'B' | b'D' | b'E' | b'C');
+                if !*skip_to_sync {
+                    ready.extend_from_slice(READY);
+                }
+            }
+        }
+        Some(Owed::Ready(ready))
+    }
+
+    fn query(&self, buffer: &Buffer, frame: &Frame, under_way: &mut VecDeque<RequestId>) -> Owed {
+        let body = buffer.get(frame.body());
+        let text = body.strip_suffix(b"\0").unwrap_or(body).trim_ascii();
+        let mut ready = Vec::new();
+        let word = text.split(|b| !b.is_ascii_alphabetic()).next().unwrap_or(b"").to_ascii_uppercase();
+        if text.is_empty() {
+            push(&mut ready, b'I', &[]);
+        } else if matches!(&word[..], b"SET" | b"RESET" | b"DISCARD") {
+            push(&mut ready, b'C', &[&word, b"\0"]);
+        } else {
+            match self.submit(buffer.get(frame.whole.clone())) {
+                Ok((id, answer)) => {
+                    // The writer has answered all but the newest of these.
+                    while under_way.len() > self.limits.pipelined + 1 {
+                        under_way.pop_front();
+                    }
+                    under_way.push_back(id);
+                    return Owed::Answer(answer);
+                }
+                Err(what) => push_error(&mut ready, "ERROR", "42601", what, None),
+            }
+        }
+        ready.extend_from_slice(READY);
+        Owed::Ready(ready)
+    }
+
+    fn submit(&self, message: &[u8]) -> Result<(RequestId, Given), &'static str> {
+        let now = self.handle.clock.now();
+        let statement = Statement::parse(message).map_err(|m| m.0)?;
+        let class = *self.classes.get(statement.class()).ok_or("the comment names an unknown class")?;
+        let session = statement.key().map(|k| {
+            let mut h = DefaultHasher::new();
+            k.hash(&mut h);
+            SessionId(h.finish())
+        });
+        let (answer, given) = bounded(1);
+        let id = self.handle.submit(Incoming {
+            class,
+            session,
+            group: GroupId(statement.group),
+            deadline: Time(now.0 + statement.wait_ms.min(86_400_000) as i64 * 1000),
+            token: statement.after_ms.map(|ms| Time(ms.saturating_mul(1000))),
+            payload: statement,
+            answer,
+        });
+        Ok((id, given))
+    }
+
+    /// Writes answers in order until the reader is done or the client takes no more.
+    fn write(&self, connection: &Connection, owed: &Receiver<Owed>) {
+        for next in owed {
+            let text = match next {
+                Owed::Ready(text) => text,
+                Owed::Answer(given) => match given.recv() {
+                    Ok(answer) => worded(answer),
+                    // Nobody will answer any more: its client has left, or the program ends.
+                    Err(_) => break,
+                },
+            };
+            let written = write_gathered(&connection.socket, &[&text]);
+            connection.owed.fetch_sub(1, Ordering::SeqCst);
+            if written.is_err() {
+                break;
+            }
+            if self.closing.load(Ordering::SeqCst) {
+                connection.close_if_nothing_owed();
+            }
+        }
+        // The reader must not wait for a client that takes no answers.
+        _ = connection.socket.shutdown(Shutdown::Both);
+    }
+}
+
+impl Connection {
+    fn close_if_nothing_owed(&self) {
+        if self.owed.load(Ordering::SeqCst) == 0 {
+            _ = self.socket.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// A final answer in PostgreSQL's words.
+fn worded(answer: Final<Vec<u8>>) -> Vec<u8> {
+    let mut text = match answer {
+        Final::Served(text) => text,
+        Final::Refused(come_back) => {
+            let ms = come_back.map(|c| c.as_millis().to_string());
+            let mut text = Vec::new();
+            push_error(&mut text, "ERROR", "53300", "refused: trying again is harmless", ms.as_deref());
+            text
+        }
+        Final::Failed(last) => {
+            let (code, said) = match last {
+                Some(Outcome::TimedOut) => ("57014", "no answer in time; it may have run"),
+                Some(Outcome::Reset) => ("08006", "the instance's connection broke; it may have run"),
+                Some(Outcome::Error) => ("XX000", "the instance failed; it may have run"),
+                _ => ("58000", "it could not be served"),
+            };
+            let mut text = Vec::new();
+            push_error(&mut text, "ERROR", code, said, None);
+            text
+        }
+    };
+    text.extend_from_slice(READY);
+    text
+}
+
+/// What a connection is greeted with once its startup is read.
+fn greeting() -> Vec<u8> {
+    let mut b = Vec::with_capacity(256);
+    push(&mut b, b'R', &[&[0, 0, 0, 0]]);
+    for (name, value) in [
+        ("server_version", "16.0 (damsonvale)"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ] {
+        push_parameter(&mut b, name, value);
+    }
+    push(&mut b, b'K', &[&[0; 8]]);
+    b.extend_from_slice(READY);
+    b
+}
--- /dev/null
+++ b/postgres/src/message.rs
@@ -0,0 +1,176 @@
+//! Framing: a tag, a length and a body, read in place from one buffer for each connection.
+use std::io::{self, IoSlice, Read, Write};
+use std::net::TcpStream;
+use std::ops::Range;
+
+/// Bytes read ahead from a connection.
+pub struct Buffer {
+    bytes: Vec<u8>,
+    start: usize,
+    end: usize,
+    most: usize,
+}
+
+/// The start of a connection: a request code and its body.
+pub struct Startup {
+    /// The protocol's version, or one of the codes that ask for something else.
+    pub code: u32,
+}
+
+/// One message in the buffer: its tag, and where the whole of it stands.
+#[derive(Clone, Debug)]
+pub struct Frame {
+    /// What kind of message it is.
+    pub tag: u8,
+    /// The whole message with its tag and length.
+    pub whole: Range<usize>,
+}
+
+impl Frame {
+    /// The message without its tag and length.
+    pub fn body(&self) -> Range<usize> {
+        self.whole.start + 5..self.whole.end
+    }
+}
+
+fn invalid(what: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+impl Buffer {
+    /// A buffer that takes messages of up to `most` bytes.
+    pub fn new(most: usize) -> Self {
+        Buffer { bytes: vec![0; 1024], start: 0, end: 0, most }
+    }
+
+    /// The bytes of a range that a frame named; good until the next read.
+    pub fn get(&self, range: Range<usize>) -> &[u8] {
+        &self.bytes[range]
+    }
+
+    /// Nothing has been read ahead.
+    pub fn is_empty(&self) -> bool {
+        self.start == self.end
+    }
+
+    /// Reads until `n` bytes stand in the buffer; `false` at an orderly end before the first of them.
+    fn fill(&mut self, mut from: &TcpStream, n: usize) -> io::Result<bool> {
+        if self.start + n > self.bytes.len() {
+            self.bytes.copy_within(self.start..self.end, 0);
+            (self.start, self.end) = (0, self.end - self.start);
+            if n > self.bytes.len() {
+                self.bytes.resize(n.next_power_of_two(), 0);
+            }
+        }
+        while self.end - self.start < n {
+            match from.read(&mut self.bytes[self.end..]) {
+                Ok(0) if self.is_empty() => return Ok(false),
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(got) => self.end += got,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(true)
+    }
+
+    fn length(&self, at: usize) -> u32 {
+        let b = &self.bytes[at..at + 4];
+        u32::from_be_bytes([b[0], b[1], b[2], b[3]])
+    }
+
+    /// The first message of a connection; `None` at its end.
+    pub fn startup(&mut self, from: &TcpStream) -> io::Result<Option<Startup>> {
+        if !self.fill(from, 8)? {
+            return Ok(None);
+        }
+        let length = self.length(self.start) as usize;
+        if !(8..=10_000).contains(&length) {
+            return Err(invalid("a startup message of an impossible length"));
+        }
+        self.fill(from, length)?;
+        let code = self.length(self.start + 4);
+        self.start += length;
+        Ok(Some(Startup { code }))
+    }
+
+    /// The next message; `None` at the connection's end between two messages.
+    pub fn next(&mut self, from: &TcpStream) -> io::Result<Option<Frame>> {
+        if self.is_empty() {
+            (self.start, self.end) = (0, 0);
+            if self.bytes.len() > 16 * 1024 {
+                // One long message must not keep its room for as long as the connection lives.
+                self.bytes = vec![0; 1024];
+            }
+        }
+        if !self.fill(from, 5)? {
+            return Ok(None);
+        }
+        let length = self.length(self.start + 1) as usize;
+        if length < 4 || length > self.most {
+            return Err(invalid("a message of an impossible length"));
+        }
+        self.fill(from, length + 1)?;
+        let whole = self.start..self.start + length + 1;
+        self.start = whole.end;
+        Ok(Some(Frame { tag: self.bytes[whole.start], whole }))
+    }
+}
+
+/// Appends a message.
+pub fn push(to: &mut Vec<u8>, tag: u8, body: &[&[u8]]) {
+    let length = 4 + body.iter().map(|b| b.len()).sum::<usize>();
+    to.push(tag);
+    to.extend_from_slice(&(length as u32).to_be_bytes());
+    body.iter().for_each(|b| to.extend_from_slice(b));
+}
+
+/// The end of a command: ready for the next, outside any transaction.
+pub const READY: &[u8] = b"Z\0\0\0\x05I";
+
+/// Appends an ErrorResponse; `detail` is its field D.
+pub fn push_error(to: &mut Vec<u8>, severity: &str, code: &str, text: &str, detail: Option<&str>) {
+    let mut fields: Vec<&[u8]> = Vec::with_capacity(16);
+    for (name, value) in [(b"S", severity), (b"V", severity), (b"C", code), (b"M", text)] {
+        fields.extend([&name[..], value.as_bytes(), b"\0"]);
+    }
+    if let Some(d) = detail {
+        fields.extend([&b"D"[..], d.as_bytes(), b"\0"]);
+    }
+    fields.push(b"\0");
+    push(to, b'E', &fields);
+}
+
+/// Appends a ParameterStatus.
+pub fn push_parameter(to: &mut Vec<u8>, name: &str, value: &str) {
+    push(to, b'S', &[name.as_bytes(), b"\0", value.as_bytes(), b"\0"]);
+}
+
+/// The field of an ErrorResponse's body.
+pub fn error_field(body: &[u8], field: u8) -> Option<&str> {
+    let mut parts = body.split(|b| *b == 0);
+    parts.find(|p| p.first() == Some(&field)).and_then(|p| std::str::from_utf8(&p[1..]).ok())
+}
+
+/// Name and value of a ParameterStatus's body.
+pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
+    let mut parts = body.split(|b| *b == 0).map(std::str::from_utf8);
+    Some((parts.next()?.ok()?, parts.next()?.ok()?))
+}
+
+/// Writes all parts, gathered into as few calls as the socket takes them in.
+pub fn write_gathered(mut to: &TcpStream, parts: &[&[u8]]) -> io::Result<()> {
+    let mut slices: Vec<IoSlice<'_>> = parts.iter().map(|p| IoSlice::new(p)).collect();
+    let mut left = &mut slices[..];
+    // An empty part at the front would look like a closed socket.
+    IoSlice::advance_slices(&mut left, 0);
+    while !left.is_empty() {
+        match to.write_vectored(left) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(n) => IoSlice::advance_slices(&mut left, n),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/postgres/src/statement.rs
@@ -0,0 +1,111 @@
+//! What a query's comment says, found in place; the time to wait can be written anew without a copy of the rest.
+use std::ops::Range;
+
+/// A query as a client wrote it, with what its comment says.
+#[derive(Debug)]
+pub struct Statement {
+    /// The whole message, tag and length included.
+    bytes: Vec<u8>,
+    /// Where the digits of `d` stand in it.
+    wait_at: Range<usize>,
+    /// How long the client waits, in milliseconds.
+    pub wait_ms: u64,
+    /// Its class's name.
+    class: Range<usize>,
+    /// The quoted key, which names the session.
+    key: Option<Range<usize>>,
+    /// Its group.
+    pub group: u32,
+    /// The position that it must see, in Unix milliseconds.
+    pub after_ms: Option<i64>,
+}
+
+/// A query without the comment that a request needs.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+fn number<T: std::str::FromStr>(text: &[u8]) -> Option<T> {
+    std::str::from_utf8(text).ok()?.parse().ok()
+}
+
+/// The name and value of one pair in the comment, as ranges of the message.
+fn pairs(bytes: &[u8], comment: Range<usize>) -> impl Iterator<Item = (&[u8], Range<usize>)> {
+    let mut at = comment.start;
+    std::iter::from_fn(move || {
+        if at >= comment.end {
+            return None;
+        }
+        let end = bytes[at..comment.end].iter().position(|b| *b == b',').map_or(comment.end, |n| at + n);
+        let part = at..end;
+        at = end + 1;
+        Some(part)
+    })
+    .filter_map(move |part| {
+        let eq = part.start + bytes[part.clone()].iter().position(|b| *b == b'=')?;
+        Some((bytes[part.start..eq].trim_ascii(), eq + 1..part.end))
+    })
+}
+
+impl Statement {
+    /// Reads a whole Query message.
+    pub fn parse(message: &[u8]) -> Result<Statement, Malformed> {
+        let body = 5..message.len().saturating_sub(1);
+        let text = message.get(body.clone()).ok_or(Malformed("the query is empty"))?;
+        let close = text.windows(2).rposition(|w| w == b"*/").ok_or(Malformed("the query has no comment"))?;
+        let open = text[..close]
+            .windows(2)
+            .rposition(|w| w == b"/*")
+            .ok_or(Malformed("the comment has no start"))?;
+        let mut end = body.start + close;
+        while message[end - 1] == b' ' {
+            end -= 1;
+        }
+        let comment = body.start + open + 2..end;
+        let (mut id, mut class, mut wait_at, mut group, mut after_ms) = (false, None, None, None, None);
+        for (name, value) in pairs(message, comment) {
+            let said = &message[value.clone()];
+            match name {
+                b"id" => id = !said.is_empty(),
+                b"c" => class = Some(value),
+                b"d" => wait_at = Some(value),
+                b"cluster" => group = number(said),
+                b"after" => after_ms = number(said),
+                _ => {}
+            }
+        }
+        if !id {
+            return Err(Malformed("the comment names no id"));
+        }
+        let wait_at = wait_at.ok_or(Malformed("the comment names no d"))?;
+        let wait_ms = number(&message[wait_at.clone()]).ok_or(Malformed("d is no whole number"))?;
+        let quote = |from: usize| text[from..open].iter().position(|b| *b == b'\'').map(|n| from + n);
+        let key = quote(0).and_then(|a| quote(a + 1).map(|z| body.start + a + 1..body.start + z));
+        Ok(Statement {
+            wait_at,
+            wait_ms,
+            class: class.ok_or(Malformed("the comment names no class"))?,
+            key,
+            group: group.ok_or(Malformed("the comment names no cluster"))?,
+            after_ms,
+            bytes: message.to_vec(),
+        })
+    }
+
+    /// Its class's name.
+    pub fn class(&self) -> &[u8] {
+        &self.bytes[self.class.clone()]
+    }
+
+    /// The quoted key.
+    pub fn key(&self) -> Option<&[u8]> {
+        self.key.clone().map(|k| &self.bytes[k])
+    }
+
+    /// The message's head, and the parts that go out around the new time to wait.
+    pub fn with_wait(&self, digits: &str) -> ([u8; 5], [&[u8]; 2]) {
+        let length = self.bytes.len() - 1 - self.wait_at.len() + digits.len();
+        let mut head = [b'Q'; 5];
+        head[1..].copy_from_slice(&(length as u32).to_be_bytes());
+        (head, [&self.bytes[5..self.wait_at.start], &self.bytes[self.wait_at.end..]])
+    }
+}
--- /dev/null
+++ b/routing/src/module.rs
@@ -0,0 +1,408 @@
+//! The actor that owns the decisions: it feeds the [`Router`] and carries out what that wants done. It owns the
+//! clock and the timers, never waits for a socket, and claims the single final answer of each request.
+use crate::clock::Clock;
+use crate::list::{ListHandle, ListNews};
+use crate::peer::{self, Key, PeerMessage};
+use crate::wire::{Reply, Wire};
+use crate::{list, spawn};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use decision::{
+    Action, Event, GroupId, MemberEntry, MemberId, MemberState, Micros, Outcome, Report, Request, RequestId,
+    Router, SessionId, Settings, Time,
+};
+use settings::Limits;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// A request's one final answer.
+#[derive(Debug)]
+pub enum Final<A> {
+    /// What an instance answered.
+    Served(A),
+    /// Not served; trying again is harmless, after this time where one is known.
+    Refused(Option<Duration>),
+    /// Not served, and it may have run; how its last attempt ended, if it had any.
+    Failed(Option<Outcome>),
+}
+
+/// A request as a front hands it over.
+pub struct Incoming<W: Wire> {
+    /// Its class.
+    pub class: usize,
+    /// Its session.
+    pub session: Option<SessionId>,
+    /// Its group.
+    pub group: GroupId,
+    /// The client gives up then.
+    pub deadline: Time,
+    /// The commit that it must see.
+    pub token: Option<Time>,
+    /// What goes to an instance.
+    pub payload: W::Payload,
+    /// Gets the final answer; must have room for it.
+    pub answer: Sender<Final<W::Answer>>,
+}
+
+/// What the module's mailbox takes.
+pub enum Message<W: Wire> {
+    /// A request has arrived.
+    Arrived(RequestId, Incoming<W>),
+    /// Its client is gone.
+    Left(RequestId),
+    /// An attempt has ended.
+    Ended {
+        /// Which attempt.
+        key: Key,
+        /// At which member.
+        member: MemberId,
+        /// How.
+        reply: Reply<W::Answer>,
+    },
+    /// A probe has ended.
+    Probed {
+        /// Of which member.
+        member: MemberId,
+        /// How.
+        outcome: Outcome,
+        /// What the member reported.
+        report: Report,
+    },
+    /// News of the list.
+    List(ListNews),
+}
+
+/// Hands requests to the module.
+pub struct Handle<W: Wire> {
+    to: Sender<Message<W>>,
+    next: Arc<AtomicU64>,
+    /// The clock that deadlines are read on.
+    pub clock: Clock,
+}
+
+impl<W: Wire> Clone for Handle<W> {
+    fn clone(&self) -> Self {
+        Handle { to: self.to.clone(), next: self.next.clone(), clock: self.clock }
+    }
+}
+
+impl<W: Wire> Handle<W> {
+    /// Hands over a request. When the program is ending nobody takes it, and its channel closes unanswered.
+    pub fn submit(&self, incoming: Incoming<W>) -> RequestId {
+        let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed));
+        _ = self.to.send(Message::Arrived(id, incoming));
+        id
+    }
+
+    /// The client of a request is gone.
+    pub fn left(&self, id: RequestId) {
+        _ = self.to.send(Message::Left(id));
+    }
+}
+
+/// What the core starts with.
+pub struct Start<W: Wire> {
+    /// The wire to instances.
+    pub wire: W,
+    /// What the decisions go by.
+    pub settings: Settings,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// The program's bounds.
+    pub limits: Arc<Limits>,
+}
+
+impl<W: Wire> Start<W> {
+    /// Starts the module's and the list's actors.
+    pub fn run(self) -> std::io::Result<(Handle<W>, ListHandle)> {
+        let (to, mailbox) = bounded(self.limits.mailbox);
+        let clock = Clock::new();
+        let list = list::start(&self.limits, to.clone())?;
+        let module = Module {
+            writes: self.settings.classes.iter().map(|c| c.freshness == decision::Freshness::Write).collect(),
+            router: Router::new(self.settings, self.seed),
+            wire: Arc::new(self.wire),
+            limits: self.limits,
+            clock,
+            own: to.clone(),
+            links: Arc::default(),
+            ids: HashMap::new(),
+            members: HashMap::new(),
+            next_member: 0,
+            requests: HashMap::new(),
+            timers: BinaryHeap::new(),
+            deferred: VecDeque::new(),
+        };
+        spawn("module", 512 * 1024, move || module.run(&mailbox))?;
+        Ok((Handle { to, next: Arc::default(), clock }, list))
+    }
+}
+
+struct Peer<W: Wire> {
+    name: String,
+    addr: SocketAddr,
+    mailbox: Sender<PeerMessage<W>>,
+}
+
+struct Known<W: Wire> {
+    payload: Arc<W::Payload>,
+    write: bool,
+    /// Taken by whoever claims the final answer.
+    answer: Option<Sender<Final<W::Answer>>>,
+    sent: u32,
+    /// Attempts that are out, with their members.
+    out: Vec<(u32, MemberId)>,
+    last: Option<Outcome>,
+}
+
+impl<W: Wire> Known<W> {
+    fn claim(&mut self, answer: Final<W::Answer>) {
+        if let Some(to) = self.answer.take() {
+            // The front's channel has room for its one answer; a closed one means the client is gone.
+            _ = to.try_send(answer);
+        }
+    }
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// The router asked to be woken.
+    Wake,
+    /// An attempt's time is up.
+    Attempt(RequestId, u32),
+}
+
+struct Module<W: Wire> {
+    router: Router,
+    wire: Arc<W>,
+    limits: Arc<Limits>,
+    clock: Clock,
+    own: Sender<Message<W>>,
+    links: Arc<AtomicUsize>,
+    writes: Vec<bool>,
+    ids: HashMap<String, MemberId>,
+    members: HashMap<MemberId, Peer<W>>,
+    next_member: u32,
+    requests: HashMap<RequestId, Known<W>>,
+    timers: BinaryHeap<Reverse<(Time, Due)>>,
+    /// Messages to itself: what could not be handed to a peer.
+    deferred: VecDeque<Message<W>>,
+}
+
+impl<W: Wire> Module<W> {
+    fn run(mut self, mailbox: &Receiver<Message<W>>) {
+        loop {
+            let message = match self.timers.peek() {
+                Some(Reverse((at, _))) => mailbox.recv_deadline(self.clock.instant(*at)),
+                None => mailbox.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            };
+            match message {
+                Ok(m) => self.take(m),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            while let Some(m) = self.deferred.pop_front() {
+                self.take(m);
+            }
+            // Messages never keep a timer waiting for more than one of them.
+            while let Some(Reverse((at, _))) = self.timers.peek()
+                && *at <= self.clock.now()
+                && let Some(Reverse((_, due))) = self.timers.pop()
+            {
+                match due {
+                    Due::Wake => self.feed(Event::Timer),
+                    Due::Attempt(id, attempt) => {
+                        if let Some((key, member)) = self.abandon(id, attempt) {
+                            self.ended(key, member, Reply::bare(Outcome::TimedOut));
+                        }
+                    }
+                }
+                while let Some(m) = self.deferred.pop_front() {
+                    self.take(m);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message<W>) {
+        match message {
+            Message::Arrived(id, incoming) => self.arrived(id, incoming),
+            Message::Left(id) => {
+                if let Some(k) = self.requests.get_mut(&id)
+                    && k.answer.take().is_some()
+                {
+                    self.feed(Event::ClientLeft { request: id });
+                    self.drop_if_done(id);
+                }
+            }
+            Message::Ended { key, member, reply } => self.ended(key, member, reply),
+            Message::Probed { member, outcome, report } => {
+                self.feed(Event::Probed { member, outcome, report });
+            }
+            Message::List(news) => self.list(news),
+        }
+    }
+
+    fn arrived(&mut self, id: RequestId, incoming: Incoming<W>) {
+        let Incoming { class, session, group, deadline, token, payload, answer } = incoming;
+        let write = self.writes.get(class).copied().unwrap_or(true);
+        let (payload, answer) = (Arc::new(payload), Some(answer));
+        let known = Known { payload, write, answer, sent: 0, out: Vec::new(), last: None };
+        self.requests.insert(id, known);
+        self.feed(Event::Request(Request { id, class, tenant: 0, session, group, deadline, token }));
+    }
+
+    fn list(&mut self, news: ListNews) {
+        let named: HashSet<&str> = news.entries.iter().map(|e| e.id.as_str()).collect();
+        for m in self.members.values().filter(|m| news.complete && !named.contains(m.name.as_str())) {
+            _ = m.mailbox.try_send(PeerMessage::InService(false));
+        }
+        let entries = news.entries.iter().filter_map(|e| {
+            let known = self.ids.get(&e.id).copied();
+            // An instance that is listed elsewhere now gets a peer of its own; the old one ends its work.
+            let moved = known.is_some_and(|id| self.members.get(&id).is_some_and(|m| m.addr != e.addr));
+            if moved && let Some(old) = known.and_then(|id| self.members.remove(&id)) {
+                _ = old.mailbox.try_send(PeerMessage::Forgotten);
+            }
+            let id = known.unwrap_or_else(|| {
+                self.next_member += 1;
+                MemberId(self.next_member)
+            });
+            if e.state != MemberState::Gone && !self.members.contains_key(&id) {
+                let (wire, limits) = (self.wire.clone(), self.limits.clone());
+                match peer::start(wire, id, e.addr, limits, self.own.clone(), self.links.clone()) {
+                    Ok(mailbox) => {
+                        self.members.insert(id, Peer { name: e.id.clone(), addr: e.addr, mailbox });
+                    }
+                    Err(error) => {
+                        eprintln!("list: no thread for instance {}: {error}", e.id);
+                        return None;
+                    }
+                }
+            }
+            self.ids.insert(e.id.clone(), id);
+            if let Some(m) = self.members.get(&id) {
+                _ = m.mailbox.try_send(PeerMessage::InService(e.state == MemberState::Ready));
+            }
+            Some(MemberEntry {
+                id,
+                group: e.group,
+                zone: e.zone,
+                state: e.state,
+                listed_primary: e.primary,
+                weight: e.weight,
+                started: e.started,
+            })
+        });
+        let entries = entries.collect();
+        self.feed(Event::Members { complete: news.complete, entries });
+    }
+
+    /// An attempt has ended at its member. After its time-out nobody waits for it any more.
+    fn ended(&mut self, (id, attempt): Key, member: MemberId, reply: Reply<W::Answer>) {
+        let Some(k) = self.requests.get_mut(&id) else { return };
+        let Some(at) = k.out.iter().position(|(n, _)| *n == attempt) else { return };
+        k.out.swap_remove(at);
+        let Reply { outcome, answer, mut note, report, .. } = reply;
+        k.last = Some(outcome);
+        if let Some(answer) = answer {
+            k.claim(Final::Served(answer));
+        }
+        let ended = k.answer.is_none();
+        let commit = if k.write && outcome == Outcome::Ok { note.position.take() } else { None };
+        self.feed(Event::Outcome { request: id, attempt, member, outcome, ended, note, commit, report });
+        self.drop_if_done(id);
+    }
+
+    /// Stops waiting for an attempt that is out; its link is closed.
+    fn abandon(&mut self, id: RequestId, attempt: u32) -> Option<(Key, MemberId)> {
+        let known = self.requests.get(&id)?;
+        let &(_, member) = known.out.iter().find(|(n, _)| *n == attempt)?;
+        if let Some(m) = self.members.get(&member) {
+            _ = m.mailbox.try_send(PeerMessage::Abandon((id, attempt)));
+        }
+        Some(((id, attempt), member))
+    }
+
+    fn drop_if_done(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|k| k.answer.is_none() && k.out.is_empty()) {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.router.handle(self.clock.now(), event, &mut actions);
+        for a in actions {
+            self.act(a);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, member, timeout } => self.send(request, member, timeout),
+            Action::Cancel { request, attempt } => {
+                if let Some((key, member)) = self.abandon(request, attempt) {
+                    self.later(Message::Ended { key, member, reply: Reply::bare(Outcome::Cancelled) });
+                }
+            }
+            Action::Refuse { request, come_back } => {
+                let come_back = come_back.map(|m| Duration::from_micros(m.max(0) as u64));
+                self.answer(request, Final::Refused(come_back));
+            }
+            Action::Fail { request } => {
+                let last = self.requests.get(&request).and_then(|k| k.last);
+                self.answer(request, Final::Failed(last));
+            }
+            Action::Probe { member } => {
+                let told = self.members.get(&member).map(|m| m.mailbox.try_send(PeerMessage::Probe));
+                if !matches!(told, Some(Ok(()))) {
+                    let (outcome, report) = (Outcome::Moot, Report::default());
+                    self.later(Message::Probed { member, outcome, report });
+                }
+            }
+            Action::Timer { after } => {
+                self.timers.push(Reverse((Time(self.clock.now().0 + after), Due::Wake)));
+            }
+            // The list's watch always runs.
+            Action::Subscribe => {}
+            Action::Forget { member } => {
+                if let Some(m) = self.members.remove(&member) {
+                    _ = m.mailbox.try_send(PeerMessage::Forgotten);
+                    self.ids.remove(&m.name);
+                } else {
+                    self.ids.retain(|_, id| *id != member);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, request: RequestId, member: MemberId, timeout: Micros) {
+        let Some(k) = self.requests.get_mut(&request) else { return };
+        let key = (request, k.sent);
+        k.sent += 1;
+        k.out.push((key.1, member));
+        let at = Time(self.clock.now().0 + timeout);
+        let until = self.clock.instant(at);
+        let attempt = PeerMessage::Attempt(key, k.payload.clone(), until);
+        match self.members.get(&member).map(|m| m.mailbox.try_send(attempt)) {
+            Some(Ok(())) => self.timers.push(Reverse((at, Due::Attempt(request, key.1)))),
+            _ => self.later(Message::Ended { key, member, reply: Reply::bare(Outcome::Moot) }),
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Final<W::Answer>) {
+        if let Some(k) = self.requests.get_mut(&id) {
+            k.claim(answer);
+            self.drop_if_done(id);
+        }
+    }
+
+    /// Takes a message after what is under way: the router is not entered from within its own actions.
+    fn later(&mut self, message: Message<W>) {
+        self.deferred.push_back(message);
+    }
+}
--- /dev/null
+++ b/routing/src/peer.rs
@@ -0,0 +1,252 @@
+//! The actor of one instance: it owns the links to it, reuses the warm ones and retires them before the
+//! instance would.
+use crate::module::Message;
+use crate::spawn;
+use crate::wire::{Link, Reply, Stop, Unsent, Wire, Work};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use decision::{MemberId, Outcome, RequestId};
+use settings::Limits;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+/// An attempt's name: its request and its number.
+pub type Key = (RequestId, u32);
+
+/// What a peer is told.
+pub enum PeerMessage<W: Wire> {
+    /// Carry an attempt; the router stops waiting for it at this moment.
+    Attempt(Key, Arc<W::Payload>, Instant),
+    /// Stop waiting for an attempt.
+    Abandon(Key),
+    /// Ask the instance how it is.
+    Probe,
+    /// Whether the list has it in service.
+    InService(bool),
+    /// The module has no more use for it.
+    Forgotten,
+    /// A link has ended its work; it waits for more if it can.
+    Ended {
+        /// Which link.
+        link: u64,
+        /// It takes more work.
+        reusable: bool,
+    },
+}
+
+enum Task<W: Wire> {
+    Attempt(Key, Arc<W::Payload>, Instant),
+    Probe,
+}
+
+struct Job<W: Wire> {
+    task: Task<W>,
+    stop: Stop,
+}
+
+struct Busy<W: Wire> {
+    link: u64,
+    /// `None` for a probe.
+    key: Option<Key>,
+    stop: Stop,
+    jobs: Sender<Job<W>>,
+}
+
+struct Idle<W: Wire> {
+    link: u64,
+    since: Instant,
+    jobs: Sender<Job<W>>,
+}
+
+/// What a peer and its links share.
+struct Shared<W: Wire> {
+    wire: Arc<W>,
+    member: MemberId,
+    addr: SocketAddr,
+    limits: Arc<Limits>,
+    module: Sender<Message<W>>,
+    /// Links of all peers together.
+    open: Arc<AtomicUsize>,
+}
+
+struct Peer<W: Wire> {
+    shared: Arc<Shared<W>>,
+    own: Sender<PeerMessage<W>>,
+    in_service: bool,
+    busy: Vec<Busy<W>>,
+    /// The warmest last.
+    idle: Vec<Idle<W>>,
+    next: u64,
+}
+
+/// Starts the actor of an instance. It ends when it is told that it is forgotten.
+pub fn start<W: Wire>(
+    wire: Arc<W>,
+    member: MemberId,
+    addr: SocketAddr,
+    limits: Arc<Limits>,
+    module: Sender<Message<W>>,
+    open: Arc<AtomicUsize>,
+) -> std::io::Result<Sender<PeerMessage<W>>> {
+    let (own, mailbox) = bounded(limits.mailbox);
+    let (to, stack) = (own.clone(), limits.stack_bytes);
+    let shared = Arc::new(Shared { wire, member, addr, limits, module, open });
+    spawn("peer", stack, move || {
+        let peer = Peer { shared, own, in_service: true, busy: Vec::new(), idle: Vec::new(), next: 0 };
+        peer.run(&mailbox);
+    })?;
+    Ok(to)
+}
+
+impl<W: Wire> Peer<W> {
+    fn run(mut self, mailbox: &Receiver<PeerMessage<W>>) {
+        loop {
+            match mailbox.recv_timeout(self.shared.limits.link_idle / 4) {
+                Ok(PeerMessage::Attempt(key, payload, until)) => {
+                    self.begin(Task::Attempt(key, payload, until));
+                }
+                Ok(PeerMessage::Probe) => self.begin(Task::Probe),
+                Ok(PeerMessage::Abandon(key)) => {
+                    self.busy.iter().filter(|b| b.key == Some(key)).for_each(|b| b.stop.stop());
+                }
+                Ok(PeerMessage::InService(yes)) => {
+                    self.in_service = yes;
+                    if !yes {
+                        // An attempt that still waits for its connection would arrive after the news.
+                        self.busy.iter().for_each(|b| b.stop.stop_unless_begun());
+                        self.idle.clear();
+                    }
+                }
+                Ok(PeerMessage::Ended { link, reusable }) => self.ended(link, reusable),
+                Ok(PeerMessage::Forgotten) => {
+                    self.busy.iter().for_each(|b| b.stop.stop_unless_begun());
+                    return;
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let oldest = self.shared.limits.link_idle;
+            self.idle.retain(|l| l.since.elapsed() < oldest);
+        }
+    }
+
+    fn begin(&mut self, task: Task<W>) {
+        let key = match &task {
+            Task::Attempt(key, ..) => Some(*key),
+            Task::Probe => None,
+        };
+        // Nothing new to what drains or is gone; the module has decided this before it heard the news.
+        if !self.in_service {
+            return self.shared.report(&task, Reply::bare(Outcome::Moot));
+        }
+        let mut job = Job { task, stop: Stop::default() };
+        while let Some(Idle { link, jobs, .. }) = self.idle.pop() {
+            let stop = job.stop.clone();
+            match jobs.send(job) {
+                Ok(()) => return self.busy.push(Busy { link, key, stop, jobs }),
+                Err(back) => job = back.0,
+            }
+        }
+        let limits = &self.shared.limits;
+        let taken = self.shared.open.fetch_add(1, Ordering::Relaxed);
+        let counted = Counted(self.shared.open.clone());
+        if taken >= limits.link_connections || self.busy.len() >= limits.links_per_peer {
+            return self.shared.report(&job.task, Reply::bare(Outcome::Moot));
+        }
+        let (link, stop) = (self.next, job.stop.clone());
+        self.next += 1;
+        let (jobs, incoming) = bounded(1);
+        let (shared, peer) = (self.shared.clone(), self.own.clone());
+        // The job goes through the channel, so that it is still here if no thread can be started.
+        _ = jobs.send(job);
+        let back = incoming.clone();
+        let started = spawn("link", limits.stack_bytes, move || {
+            let _counted = counted;
+            run_link(&shared, &peer, link, &incoming);
+        });
+        match started {
+            Ok(()) => self.busy.push(Busy { link, key, stop, jobs }),
+            Err(e) => {
+                eprintln!("peer {}: no thread for a link: {e}", self.shared.addr);
+                if let Ok(job) = back.try_recv() {
+                    self.shared.report(&job.task, Reply::bare(Outcome::Moot));
+                }
+            }
+        }
+    }
+
+    fn ended(&mut self, link: u64, reusable: bool) {
+        let Some(at) = self.busy.iter().position(|b| b.link == link) else { return };
+        let Busy { jobs, .. } = self.busy.swap_remove(at);
+        if reusable && self.in_service {
+            self.idle.push(Idle { link, since: Instant::now(), jobs });
+        }
+    }
+}
+
+/// Counts a link while it lives.
+struct Counted(Arc<AtomicUsize>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl<W: Wire> Shared<W> {
+    fn report(&self, task: &Task<W>, reply: Reply<W::Answer>) {
+        let member = self.member;
+        // The module outlives its peers but for the very end of the program.
+        _ = self.module.send(match task {
+            Task::Attempt(key, ..) => Message::Ended { key: *key, member, reply },
+            Task::Probe => Message::Probed { member, outcome: reply.outcome, report: reply.report },
+        });
+    }
+}
+
+/// Carries jobs one after the other on one connection, until that breaks or the peer lets go of it.
+fn run_link<W: Wire>(shared: &Shared<W>, peer: &Sender<PeerMessage<W>>, id: u64, jobs: &Receiver<Job<W>>) {
+    let mut link: Option<W::Link> = None;
+    while let Ok(job) = jobs.recv() {
+        let reply = carry(shared, &mut link, &job);
+        let reusable = reply.reusable && link.is_some();
+        // The peer hears first: the module's next attempt finds this link idle.
+        let kept = peer.send(PeerMessage::Ended { link: id, reusable }).is_ok();
+        shared.report(&job.task, reply);
+        if !(reusable && kept) {
+            return;
+        }
+    }
+}
+
+/// One job on the link at hand, or on a new one. A pooled connection that broke before the last byte was
+/// written has carried nothing, so the job goes out once more on a fresh one.
+fn carry<W: Wire>(shared: &Shared<W>, link: &mut Option<W::Link>, job: &Job<W>) -> Reply<W::Answer> {
+    loop {
+        let pooled = link.as_mut().is_some_and(Link::alive);
+        if !pooled {
+            *link = match shared.wire.open(shared.addr) {
+                Ok(l) => Some(l),
+                Err(outcome) => return Reply::bare(outcome),
+            };
+        }
+        let Some(l) = link.as_mut() else { return Reply::bare(Outcome::ConnectFailed) };
+        job.stop.hold(l.socket());
+        let work = match &job.task {
+            Task::Attempt(_, payload, until) => Work::Attempt(&**payload, *until),
+            Task::Probe => Work::Probe,
+        };
+        match l.carry(work, &job.stop) {
+            Ok(reply) => return reply,
+            // Nothing was written on it: it stays warm.
+            Err(Unsent::Stopped) => return Reply { reusable: true, ..Reply::bare(Outcome::Moot) },
+            Err(Unsent::Broken) => {
+                *link = None;
+                if !pooled {
+                    return Reply::bare(Outcome::ConnectFailed);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/wire.rs
@@ -0,0 +1,114 @@
+//! What the core asks of a wire.
+use decision::{Outcome, Report};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+/// One piece of work for a link.
+pub enum Work<'a, W: Wire> {
+    /// A request's payload, and the moment at which the router stops waiting for it.
+    Attempt(&'a W::Payload, Instant),
+    /// Ask the instance for its report.
+    Probe,
+}
+
+/// How a piece of work ended on a link.
+pub struct Reply<A> {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// What the client gets, where it was served.
+    pub answer: Option<A>,
+    /// What the answer's note says of the instance; for a write that was served, its position is the commit.
+    pub note: Report,
+    /// A load report.
+    pub report: Report,
+    /// The link can carry another piece of work.
+    pub reusable: bool,
+}
+
+impl<A> Reply<A> {
+    /// An end that tells nothing more; the link is not used again.
+    pub fn bare(outcome: Outcome) -> Self {
+        let (note, report) = (Report::default(), Report::default());
+        Reply { outcome, answer: None, note, report, reusable: false }
+    }
+}
+
+/// A wire to instances.
+pub trait Wire: Send + Sync + Sized + 'static {
+    /// What a request brings to an instance.
+    type Payload: Send + Sync + 'static;
+    /// What an instance answers.
+    type Answer: Send + 'static;
+    /// A connection to an instance.
+    type Link: Link<Self> + Send;
+    /// Opens a connection that is ready for work. Where it fails, nothing has run: the outcome says whether
+    /// the instance turned it away or could not be reached.
+    fn open(&self, addr: SocketAddr) -> Result<Self::Link, Outcome>;
+}
+
+/// A connection that carries one piece of work at a time.
+pub trait Link<W: Wire> {
+    /// The connection, for whoever must end the work.
+    fn socket(&self) -> Arc<TcpStream>;
+    /// Whether an idle connection still stands; nothing must be written to one that does not.
+    fn alive(&mut self) -> bool;
+    /// Carries one piece of work to its end, or says that the connection broke before the last byte of it was
+    /// written. [`Stop::begin`] is asked right before the first byte.
+    fn carry(&mut self, work: Work<'_, W>, stop: &Stop) -> Result<Reply<W::Answer>, Unsent>;
+}
+
+/// The work was not written whole, so it never ran.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Unsent {
+    /// The connection broke.
+    Broken,
+    /// It was stopped before its first byte.
+    Stopped,
+}
+
+#[derive(Default)]
+struct Inner {
+    socket: Option<Arc<TcpStream>>,
+    begun: bool,
+    stopped: bool,
+}
+
+/// Ends a piece of work from another thread: before its first byte it is never sent, after that its
+/// connection is closed.
+#[derive(Clone, Default)]
+pub struct Stop(Arc<Mutex<Inner>>);
+
+impl Stop {
+    fn inner(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Takes charge of the connection that the work goes out on.
+    pub fn hold(&self, socket: Arc<TcpStream>) {
+        self.inner().socket = Some(socket);
+    }
+
+    /// Stops the work, whether it has begun or not.
+    pub fn stop(&self) {
+        let mut inner = self.inner();
+        inner.stopped = true;
+        if let Some(s) = inner.socket.take().filter(|_| inner.begun) {
+            // Errors mean that it is closed already, which is what is wanted.
+            _ = s.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Stops the work unless it has begun: what drains completes what it has and gets nothing new.
+    pub fn stop_unless_begun(&self) {
+        let mut inner = self.inner();
+        inner.stopped |= !inner.begun;
+    }
+
+    /// Asked right before the first byte is written: whether the work may still begin.
+    pub fn begin(&self) -> bool {
+        let mut inner = self.inner();
+        inner.begun |= !inner.stopped;
+        !inner.stopped
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,4 +3,8 @@
 //! The platform's JSON is read here for the router and for the simulator's adapter alike, so that both
 //! run on the same settings. Messages name the key that is at fault.
 pub mod fields;
+pub mod limits;
 pub mod platform;
+pub mod start;
+
+pub use limits::Limits;
--- /dev/null
+++ b/settings/src/limits.rs
@@ -0,0 +1,69 @@
+//! Every size, count and time that bounds the program, in one type that is filled at start and handed down.
+use std::time::Duration;
+
+/// The bounds of one router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Stack of a thread that talks on one socket.
+    pub stack_bytes: usize,
+    /// Longest message that is read from a client or from an instance.
+    pub message_bytes: usize,
+    /// Longest line that discovery may send.
+    pub list_bytes: usize,
+    /// Client connections that may be open at a time.
+    pub client_connections: usize,
+    /// Connections that may be open to all instances together.
+    pub link_connections: usize,
+    /// Connections that may be open to one instance.
+    pub links_per_peer: usize,
+    /// Requests that one client connection may have written ahead of its answers.
+    pub pipelined: usize,
+    /// Messages that wait for an actor.
+    pub mailbox: usize,
+    /// A connection to an instance that is not made within this time has failed.
+    pub connect: Duration,
+    /// A probe without an answer after this time has timed out.
+    pub probe: Duration,
+    /// A connection to an instance is retired after this time without a request: before the instance's own.
+    pub link_idle: Duration,
+    /// A client that takes none of its answer for this long is given up.
+    pub client_write: Duration,
+    /// Nothing new is written to an instance this long after the news that it drains or is gone.
+    pub drain_stop: Duration,
+    /// After SIGTERM, new connections and requests are taken as before for this long.
+    pub shutdown_grace: Duration,
+    /// After SIGTERM, the program ends at the latest after this time.
+    pub shutdown_most: Duration,
+    /// A watch of discovery that brings nothing, not even an empty line, for this long is opened anew.
+    pub watch_silent: Duration,
+    /// Shortest and longest pause before discovery is tried again.
+    pub watch_retry: (Duration, Duration),
+}
+
+impl Limits {
+    /// The bounds for a process that may hold `sockets` descriptors and whose instances close a connection
+    /// left idle for `keepalive`.
+    pub fn new(sockets: usize, connect: Duration, keepalive: Duration, longest_deadline: Duration) -> Self {
+        // Standard streams, the listener, the watch, the signal pipe and some slack are not ours to hand out.
+        let free = sockets.saturating_sub(48).max(16);
+        Limits {
+            stack_bytes: 96 * 1024,
+            message_bytes: 512 * 1024,
+            list_bytes: 4 << 20,
+            client_connections: free * 6 / 10,
+            link_connections: free * 4 / 10,
+            links_per_peer: 64,
+            pipelined: 16,
+            mailbox: 4096,
+            connect,
+            probe: connect,
+            link_idle: keepalive.mul_f64(0.8),
+            client_write: Duration::from_secs(5),
+            drain_stop: Duration::from_millis(150),
+            shutdown_grace: Duration::from_millis(600),
+            shutdown_most: longest_deadline.max(Duration::from_secs(3)) + Duration::from_millis(600),
+            watch_silent: Duration::from_secs(5),
+            watch_retry: (Duration::from_millis(50), Duration::from_secs(1)),
+        }
+    }
+}
--- /dev/null
+++ b/settings/src/start.rs
@@ -0,0 +1,99 @@
+//! What the platform tells a router at its start: `$BALANCER_CONFIG` and the variables beside it.
+use crate::fields::{array, field, number, text, whole};
+use crate::limits::Limits;
+use crate::platform;
+use decision::Settings;
+use serde_json::Value;
+use std::time::Duration;
+
+/// The names that positions of classes and zones stand for.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Class names in the order of [`Settings::classes`].
+    pub classes: Vec<String>,
+    /// Zone names; entries of the list name their zone.
+    pub zones: Vec<String>,
+}
+
+/// One router's start on the platform.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The router's name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: String,
+    /// Where discovery answers.
+    pub discovery: String,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// The list as the router held it last, in discovery's form.
+    pub known: Value,
+    /// What the module is told.
+    pub settings: Settings,
+    /// Names of classes and zones.
+    pub names: Names,
+    /// Every bound of the program.
+    pub limits: Limits,
+}
+
+/// The value of a variable, or the config's field of the same meaning.
+fn told(
+    env: &dyn Fn(&str) -> Option<String>,
+    variable: &str,
+    v: &Value,
+    key: &str,
+) -> Result<String, String> {
+    match env(variable).filter(|x| !x.is_empty()) {
+        Some(x) => Ok(x),
+        None => text(v, key).map(str::to_string),
+    }
+}
+
+fn seed(v: &Value) -> Result<u64, String> {
+    match field(v, "seed")? {
+        Value::String(s) => u64::from_str_radix(s, 16)
+            .map_err(|_| format!("expected a hexadecimal number of 64 bits in 'seed', found '{s}'")),
+        _ => whole(v, "seed"),
+    }
+}
+
+fn words(v: &Value, key: &str) -> Result<Vec<String>, String> {
+    let word = |x: &Value| x.as_str().map(str::to_string).ok_or(format!("expected texts in '{key}'"));
+    array(v, key)?.iter().map(word).collect()
+}
+
+/// Reads the config's text; `env` looks up a variable.
+pub fn read(config: &str, env: &dyn Fn(&str) -> Option<String>) -> Result<Start, String> {
+    let v: Value = serde_json::from_str(config).map_err(|e| format!("expected JSON: {e}"))?;
+    let inner = field(&v, "settings")?;
+    let (settings, _) = platform::read(inner).map_err(|e| format!("settings: {e}"))?;
+    let class = |c: &Value| text(c, "name").map(str::to_string);
+    let classes = array(inner, "classes")?.iter().map(class).collect::<Result<_, _>>();
+    let names = Names {
+        classes: classes.map_err(|e| format!("settings: classes: {e}"))?,
+        zones: words(inner, "failureDomains").map_err(|e| format!("settings: {e}"))?,
+    };
+    let bounds = field(inner, "limits").map_err(|e| format!("settings: {e}"))?;
+    let keepalive = number(bounds, "keepaliveMs").map_err(|e| format!("settings: limits: {e}"))?;
+    let given = field(&v, "limits")?;
+    let sockets = whole(given, "sockets").map_err(|e| format!("limits: {e}"))? as usize;
+    if sockets < 64 {
+        return Err(format!("limits: expected at least 64 in 'sockets', found {sockets}"));
+    }
+    let micros = |m: i64| Duration::from_micros(m.max(0) as u64);
+    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let keepalive = Duration::from_secs_f64((keepalive / 1000.0).clamp(0.1, 86_400.0));
+    let mut limits = Limits::new(sockets, micros(settings.connect_timeout), keepalive, micros(longest));
+    // The module's own bound is the rule's; the guard at the socket comes before it.
+    limits.drain_stop = micros(settings.drain_grace).mul_f64(0.6);
+    Ok(Start {
+        name: told(env, "BALANCER_NAME", &v, "name")?,
+        listen: told(env, "BALANCER_LISTEN", &v, "listen")?,
+        discovery: told(env, "BALANCER_DISCOVERY", &v, "discovery")?,
+        seed: seed(&v)?,
+        known: v.get("known").cloned().unwrap_or(Value::Null),
+        settings,
+        names,
+        limits,
+    })
+}
