Test the MySQL front with the mysql client, raw sockets and stand-in servers

Seen: the front had no tests. tests/mysql.rs starts the program over a primary and a replica that count what they execute: the split, prepared statements on any connection, 1243, a primary that dies between prepare and execute, cut and reset orders, deadlines, own writes, refusals, long parameters, cursors, hostile bytes, configuration. Found: an execution was written behind a prepare whose server had closed already, so it counted as one that may have run (mysql/src/link.rs, execute()); the connection is looked at once more before the execution now.

--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -273,6 +273,8 @@
                     // Up to here nothing has run: whatever broke, the execution may go elsewhere.
                     Err(_) => return Err(Unsent::Broken),
                     Ok(answer) if errors::code(&answer[0]).is_some() => return Ok(self.reply(Ok(answer))),
+                    // A server that died over the preparing has closed by now as a rule: nothing is written to it.
+                    Ok(_) if !self.alive() => return Err(Unsent::Broken),
                     Ok(_) => continue,
                 },
             };
--- /dev/null
+++ b/tests/mysql.rs
@@ -0,0 +1,573 @@
+//! The MySQL front: the real program between the `mysql` client or a raw socket and stand-in servers that count
+//! what they execute.
+mod common;
+use common::{Folder, LONG, Program, take};
+use mysql::prelude::Queryable;
+use mysql::{Conn, OptsBuilder, Value};
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// What a server does with its next executions.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Act {
+    Serve,
+    Error(u16),
+    /// The connection breaks after the statement has run.
+    Reset,
+    /// The answer stops in the middle.
+    Cut,
+    Silent,
+    /// It dies when a statement has been prepared on it, before the execution comes.
+    DieAfterPrepare,
+    /// It forgets what was prepared, once.
+    Forget,
+}
+
+/// A stand-in server. `ran` counts each statement that it has executed, by its text.
+#[derive(Clone)]
+struct Server {
+    addr: SocketAddr,
+    name: &'static str,
+    state: Arc<Mutex<State>>,
+    heard: Sender<String>,
+}
+
+struct State {
+    act: Act,
+    read_only: bool,
+    /// How far its heartbeat lags.
+    lag_ms: u128,
+    ran: HashMap<String, usize>,
+    /// The parameters of the last execution, behind the statement's id.
+    last: Vec<u8>,
+    long: Vec<u8>,
+    dead: bool,
+    open: Vec<TcpStream>,
+}
+
+fn read(socket: &TcpStream) -> std::io::Result<(u8, Vec<u8>)> {
+    let head = take(socket, 4)?;
+    let length = u32::from_le_bytes([head[0], head[1], head[2], 0]) as usize;
+    Ok((head[3], take(socket, length)?))
+}
+
+fn packets(first: u8, payloads: &[&[u8]]) -> Vec<u8> {
+    let framed = payloads.iter().enumerate().flat_map(|(i, p)| {
+        [&(p.len() as u32).to_le_bytes()[..3], &[first.wrapping_add(i as u8)], p].concat()
+    });
+    framed.collect()
+}
+
+fn text(s: &str) -> Vec<u8> {
+    [&[s.len() as u8][..], s.as_bytes()].concat()
+}
+
+fn column(name: &str) -> Vec<u8> {
+    let names = ["def", "", "", "", name, ""].map(text).concat();
+    [&names[..], &[0x0c, 45, 0, 0, 1, 0, 0, 0xfd, 0, 0, 0, 0, 0]].concat()
+}
+
+const OK: &[u8] = &[0, 1, 0, 2, 0, 0, 0];
+const EOF: &[u8] = &[0xfe, 0, 0, 2, 0];
+
+impl Server {
+    fn start(name: &'static str, read_only: bool) -> (Server, Receiver<String>) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (heard, texts) = channel();
+        let state = State {
+            act: Act::Serve,
+            read_only,
+            lag_ms: 0,
+            ran: HashMap::new(),
+            last: vec![],
+            long: vec![],
+            dead: false,
+            open: vec![],
+        };
+        let addr = listener.local_addr().unwrap();
+        let server = Server { addr, name, state: Arc::new(Mutex::new(state)), heard };
+        let own = server.clone();
+        std::thread::spawn(move || {
+            for socket in listener.incoming() {
+                let (own, socket) = (own.clone(), socket.unwrap());
+                let mut state = own.state.lock().unwrap();
+                if state.dead {
+                    continue;
+                }
+                state.open.push(socket.try_clone().unwrap());
+                drop(state);
+                std::thread::spawn(move || {
+                    own.talk(&socket);
+                    _ = socket.shutdown(std::net::Shutdown::Both);
+                });
+            }
+        });
+        (server, texts)
+    }
+
+    /// Its process is gone: connections break, and new ones never come up.
+    fn die(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.dead = true;
+        state.open.drain(..).for_each(|s| _ = s.shutdown(std::net::Shutdown::Both));
+    }
+
+    fn act(&self, act: Act) {
+        self.state.lock().unwrap().act = act;
+    }
+
+    fn ran(&self, text: &str) -> usize {
+        self.state.lock().unwrap().ran.get(text).copied().unwrap_or(0)
+    }
+
+    fn talk(&self, socket: &TcpStream) -> Option<()> {
+        let mut to = socket;
+        let nonce = [7u8; 20];
+        let flags: u32 = 1 << 3 | 1 << 9 | 1 << 13 | 1 << 15 | 1 << 17 | 1 << 18 | 1 << 19;
+        let low = flags.to_le_bytes();
+        let greeting = [
+            &b"\x0a8.0.1\0\x01\0\0\0"[..],
+            &nonce[..8],
+            &[0],
+            &low[..2],
+            &[45, 2, 0],
+            &low[2..],
+            &[21],
+            &[0; 10],
+            &nonce[8..],
+            &[0],
+            b"mysql_native_password\0",
+        ]
+        .concat();
+        to.write_all(&packets(0, &[&greeting])).ok()?;
+        read(socket).ok()?;
+        to.write_all(&packets(2, &[OK])).ok()?;
+        let mut prepared: HashMap<u32, String> = HashMap::new();
+        loop {
+            let (_, body) = read(socket).ok()?;
+            let id = body.get(1..5).map(|b| u32::from_le_bytes(b.try_into().unwrap()));
+            let answer = match body[0] {
+                3 => self.run(std::str::from_utf8(&body[1..]).unwrap(), false)?,
+                22 => {
+                    let sql = String::from_utf8(body[1..].to_vec()).unwrap();
+                    let (id, marks) = (prepared.len() as u32 + 50, sql.matches('?').count() as u8);
+                    let rows = sql.starts_with("SELECT");
+                    prepared.insert(id, sql);
+                    let head =
+                        [&[0][..], &id.to_le_bytes(), &[u8::from(rows), 0, marks, 0, 0, 0, 0]].concat();
+                    let (mark, name) = (column("?"), column("who"));
+                    let mut all: Vec<&[u8]> = vec![&head];
+                    all.extend((0..marks).map(|_| &mark[..]).chain((marks > 0).then_some(EOF)));
+                    all.extend(rows.then_some([&name[..], EOF]).into_iter().flatten());
+                    to.write_all(&packets(1, &all)).ok()?;
+                    if self.state.lock().unwrap().act == Act::DieAfterPrepare {
+                        return None;
+                    }
+                    continue;
+                }
+                23 => match prepared.get(&id.unwrap()) {
+                    _ if self.state.lock().unwrap().act == Act::Forget => {
+                        self.act(Act::Serve);
+                        packets(1, &[b"\xff\xdb\x04#HY000forgotten"])
+                    }
+                    Some(sql) => {
+                        self.state.lock().unwrap().last = body[5..].to_vec();
+                        self.run(sql, true)?
+                    }
+                    None => packets(1, &[b"\xff\xdb\x04#HY000unknown"]),
+                },
+                24 => {
+                    self.state.lock().unwrap().long.extend_from_slice(&body[7..]);
+                    continue;
+                }
+                25 => continue,
+                _ => packets(1, &[OK]),
+            };
+            to.write_all(&answer).ok()?;
+            if answer.len() == 10 {
+                return None;
+            }
+        }
+    }
+
+    /// Executes a statement and gives the packets of its answer; `None` breaks the connection.
+    fn run(&self, sql: &str, binary: bool) -> Option<Vec<u8>> {
+        let mut state = self.state.lock().unwrap();
+        if sql == "SELECT probe" {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() - state.lag_ms;
+            let row = [text(if state.read_only { "1" } else { "0" }), text(&now.to_string())].concat();
+            return Some(packets(1, &[&[2], &column("ro"), &column("ts"), EOF, &row, EOF]));
+        }
+        let writes = !sql.starts_with("SELECT");
+        if writes && state.read_only {
+            return Some(packets(1, &[b"\xff\x0a\x05#HY000read-only"]));
+        }
+        *state.ran.entry(sql.to_string()).or_default() += 1;
+        let act = state.act;
+        drop(state);
+        _ = self.heard.send(sql.to_string());
+        let row = if binary { [&[0, 0][..], &text(self.name)].concat() } else { text(self.name) };
+        let whole = if writes {
+            packets(1, &[OK])
+        } else {
+            packets(1, &[&[1], &column("who"), EOF, &row, &row, &row, EOF])
+        };
+        match act {
+            Act::Error(code) => {
+                Some(packets(1, &[&[&[0xff][..], &code.to_le_bytes(), b"#HY000no"].concat()]))
+            }
+            Act::Reset => None,
+            Act::Cut => Some(whole[..10].to_vec()),
+            Act::Silent => {
+                // Until the process ends: the router closes its side.
+                loop {
+                    std::thread::park();
+                }
+            }
+            _ => Some(whole),
+        }
+    }
+}
+
+/// A router over a primary and a replica.
+struct Site {
+    router: Program,
+    addr: SocketAddr,
+    primary: (Server, Receiver<String>),
+    replica: (Server, Receiver<String>),
+    _folder: Folder,
+}
+
+const ORDER: &str = "INSERT INTO orders VALUES (?) /* c=order-place,d=1500,s=till */";
+const STOCK: &str = "SELECT who FROM stock /* c=any-read,d=1500 */";
+
+fn file(servers: &str) -> String {
+    format!(
+        "[mysql]\nlisten = '127.0.0.1:0'\ndatabase = 'stock'\nserver_user = 'router'\nserver_password = 'x'
+probe = 'SELECT probe'\ndeadline_ms = 1500\nmessage_bytes = 100000
+[[mysql.user]]\nname = 'till'\npassword = 'secret'
+[[mysql.class]]\nname = 'any-read'\nfreshness = 'any'\neffect = 'safe'\naim_ms = 1500\ndeadline_ms = 1500
+[[mysql.class]]\nname = 'session-read'\nfreshness = 'session'\neffect = 'safe'\naim_ms = 1500\ndeadline_ms = 1500
+[[mysql.class]]\nname = 'order-place'\nfreshness = 'write'\neffect = 'unsafe'\naim_ms = 1500\ndeadline_ms = 1500
+[[mysql.rule]]\nstarts = 'select who from basket'\nclass = 'session-read'\n{servers}"
+    )
+}
+
+impl Site {
+    fn start() -> Site {
+        let (primary, replica) = (Server::start("primary", false), Server::start("replica", true));
+        let of = |s: &Server| format!("[[mysql.server]]\nid = '{}'\naddr = '{}'\n", s.name, s.addr);
+        let folder = Folder::new();
+        let path = folder.write("mysql.toml", &file(&(of(&primary.0) + &of(&replica.0))));
+        let mut router = Program::start(&[path.to_str().unwrap()], &[]);
+        let addr = router.listening();
+        let site = Site { router, addr, primary, replica, _folder: folder };
+        // The replica is trusted once it has been probed.
+        let mut client = site.client();
+        assert!((0..50).any(|_| client.query_first::<String, _>(STOCK).unwrap().unwrap() == "replica"));
+        while site.primary.1.try_recv().is_ok() || site.replica.1.try_recv().is_ok() {}
+        site
+    }
+
+    fn options(&self) -> OptsBuilder {
+        let at = OptsBuilder::new()
+            .ip_or_hostname(Some("127.0.0.1"))
+            .tcp_port(self.addr.port())
+            .prefer_socket(false);
+        at.user(Some("till")).pass(Some("secret")).db_name(Some("stock"))
+    }
+
+    fn client(&self) -> Conn {
+        Conn::new(self.options()).unwrap()
+    }
+
+    fn orders(&self, sql: &str) -> usize {
+        self.primary.0.ran(sql) + self.replica.0.ran(sql)
+    }
+}
+
+/// Code and SQLSTATE of an error.
+fn code(e: mysql::Error) -> (u16, String) {
+    match e {
+        mysql::Error::MySqlError(e) => (e.code, e.state),
+        other => panic!("no error of the protocol: {other}"),
+    }
+}
+
+#[test]
+fn statements_are_split_between_primary_and_replica() {
+    let site = Site::start();
+    let mut client = site.client();
+    assert_eq!(client.query::<String, _>(STOCK).unwrap(), ["replica"; 3]);
+    client.query_drop("INSERT INTO orders VALUES (1)").unwrap();
+    assert_eq!(client.affected_rows(), 1);
+    assert_eq!(site.primary.0.ran("INSERT INTO orders VALUES (1)"), 1);
+    // What nobody has named is a write that must not run twice, a SELECT too.
+    assert_eq!(client.query_first::<String, _>("SELECT who FROM else").unwrap().unwrap(), "primary");
+    assert!(client.ping().is_ok());
+    assert!(client.select_db("stock").is_ok());
+    assert_eq!(code(client.select_db("other").unwrap_err()), (1049, "42000".into()));
+    // A statement's own error reaches the client as the server wrote it.
+    site.primary.0.act(Act::Error(1062));
+    assert_eq!(code(client.query_drop("INSERT INTO orders VALUES (2)").unwrap_err()), (1062, "HY000".into()));
+}
+
+#[test]
+fn prepared_statements_go_to_any_server_connection() {
+    let site = Site::start();
+    let mut client = site.client();
+    let order = client.prep(ORDER).unwrap();
+    assert_eq!(order.num_params(), 1);
+    for n in 1..=3 {
+        client.exec_drop(&order, (n,)).unwrap();
+    }
+    assert_eq!(site.primary.0.ran(ORDER), 3);
+    let sent = site.primary.0.state.lock().unwrap().last.clone();
+    assert_eq!(sent[..7], [0, 1, 0, 0, 0, 0, 1], "flags, count, no NULL, types sent");
+    let stock = client.prep("SELECT who FROM stock WHERE id = ? /* c=any-read */").unwrap();
+    let rows: Vec<String> = client.exec(&stock, (Value::Bytes(vec![b'x'; 300]),)).unwrap();
+    assert_eq!(rows, ["replica"; 3]);
+    // A server that has forgotten the statement ran nothing: it is prepared anew there.
+    site.primary.0.act(Act::Forget);
+    client.exec_drop(&order, (4,)).unwrap();
+    assert_eq!(site.primary.0.ran(ORDER), 4);
+    client.close(order).unwrap();
+    client.reset().unwrap();
+    let again = client.prep(ORDER).unwrap();
+    client.exec_drop(&again, (5,)).unwrap();
+}
+
+#[test]
+fn a_server_that_dies_between_preparing_and_executing_has_run_nothing() {
+    let site = Site::start();
+    let mut client = site.client();
+    let order = client.prep(ORDER).unwrap();
+    client.exec_drop(&order, (1,)).unwrap();
+    // Its connections die with what was prepared on them, and the replica takes over.
+    site.replica.0.state.lock().unwrap().read_only = false;
+    site.primary.0.die();
+    client.exec_drop(&order, (2,)).unwrap();
+    assert_eq!((site.primary.0.ran(ORDER), site.replica.0.ran(ORDER)), (1, 1));
+}
+
+#[test]
+fn a_server_that_dies_over_the_preparing_leaves_one_outcome_and_one_run_at_most() {
+    let site = Site::start();
+    let mut client = site.client();
+    let order = client.prep(ORDER).unwrap();
+    site.replica.0.state.lock().unwrap().read_only = false;
+    site.primary.0.act(Act::DieAfterPrepare);
+    // It closes right behind its answer: an execution that crosses that may have run, as far as anyone can tell.
+    match client.exec_drop(&order, (1,)) {
+        Ok(()) => assert_eq!(site.orders(ORDER), 1),
+        Err(e) => assert_eq!((code(e).0, site.orders(ORDER)), (1158, 0)),
+    }
+}
+
+#[test]
+fn an_order_that_may_have_run_is_failed_and_never_sent_again() {
+    let cases = [(Act::Cut, 1158, "08S01"), (Act::Reset, 1158, "08S01"), (Act::Error(1105), 1105, "HY000")];
+    for (act, expected, state) in cases {
+        for prepared in [false, true] {
+            let site = Site::start();
+            let mut client = site.client();
+            site.primary.0.act(act);
+            let text = "INSERT INTO orders VALUES (7)";
+            let (sql, ended) = if prepared {
+                let order = client.prep(ORDER).unwrap();
+                (ORDER, client.exec_drop(&order, (1,)))
+            } else {
+                (text, client.query_drop(text))
+            };
+            assert_eq!(code(ended.unwrap_err()), (expected, state.to_string()), "{act:?}");
+            assert_eq!(site.orders(sql), 1, "{act:?}");
+            // The connection goes on.
+            assert!(client.ping().is_ok());
+        }
+    }
+}
+
+#[test]
+fn a_silent_server_is_given_up_at_the_deadline() {
+    let site = Site::start();
+    let mut client = site.client();
+    site.primary.0.act(Act::Silent);
+    let begun = Instant::now();
+    let ended = client.query_drop("INSERT INTO orders VALUES (8) /* c=order-place,d=400 */");
+    assert_eq!(code(ended.unwrap_err()), (3024, "HY000".into()));
+    assert!(begun.elapsed().as_millis() >= 390 && begun.elapsed() < LONG);
+    assert_eq!(site.orders("INSERT INTO orders VALUES (8) /* c=order-place,d=400 */"), 1);
+}
+
+#[test]
+fn a_session_sees_its_own_writes() {
+    let site = Site::start();
+    let mut client = site.client();
+    site.replica.0.state.lock().unwrap().lag_ms = 60_000;
+    client.query_drop("INSERT INTO basket VALUES (1)").unwrap();
+    // The replica's heartbeat is before the commit: the read goes to the primary. Another session has no commit.
+    assert_eq!(client.query_first::<String, _>("SELECT who FROM basket").unwrap().unwrap(), "primary");
+    assert_eq!(site.client().query_first::<String, _>("SELECT who FROM basket").unwrap().unwrap(), "replica");
+    // Once the heartbeat has passed the commit, the replica may answer.
+    site.replica.0.state.lock().unwrap().lag_ms = 0;
+    let begun = Instant::now();
+    while client.query_first::<String, _>("SELECT who FROM basket").unwrap().unwrap() != "replica" {
+        assert!(begun.elapsed() < LONG);
+    }
+}
+
+#[test]
+fn what_shared_connections_cannot_carry_is_refused_clearly() {
+    let site = Site::start();
+    let mut client = site.client();
+    for sql in [
+        "START TRANSACTION",
+        "begin",
+        "COMMIT",
+        "SET sql_mode = ''",
+        "/* x */ LOCK TABLES a WRITE",
+        "SELECT @a := 1",
+        "SELECT last_insert_id()",
+        "CREATE TEMPORARY TABLE t (a INT)",
+        "PREPARE s FROM 'x'",
+        "INSERT INTO orders VALUES (9) /* c=any-read */",
+    ] {
+        assert_eq!(code(client.query_drop(sql).unwrap_err()), (1235, "42000".into()), "{sql}");
+    }
+    // What every connection has anyway is answered, and quoted words are no commands.
+    client.query_drop("SET NAMES utf8mb4").unwrap();
+    client.query_drop("INSERT INTO notes VALUES ('SET @a := 1 /* c=any-read */ ?')").unwrap();
+    assert_eq!(code(client.query_drop("").unwrap_err()).0, 1065);
+}
+
+#[test]
+fn strangers_and_hostile_bytes_end_their_own_connection_only() {
+    let site = Site::start();
+    let wrong = Conn::new(site.options().pass(Some("wrong"))).unwrap_err();
+    assert_eq!(code(wrong), (1045, "28000".into()));
+    let other = Conn::new(site.options().db_name(Some("other"))).unwrap_err();
+    assert_eq!(code(other), (1049, "42000".into()));
+    for bytes in
+        [&b"\xff\xff\xff\x01"[..], b"\x01\0\0\x01\0", b"\x04\0\0\x01\0\0\0\0", b"GET / HTTP/1.1\r\n\r\n"]
+    {
+        let socket = TcpStream::connect(site.addr).unwrap();
+        (&socket).write_all(bytes).unwrap();
+        _ = socket.shutdown(std::net::Shutdown::Write);
+        while take(&socket, 1).is_ok() {}
+    }
+    assert_eq!(site.client().query_first::<String, _>(STOCK).unwrap().unwrap(), "replica");
+}
+
+/// A raw client, for what the library does not do.
+struct Raw(TcpStream);
+
+impl Raw {
+    fn connect(addr: SocketAddr) -> Raw {
+        let socket = TcpStream::connect(addr).unwrap();
+        socket.set_read_timeout(Some(LONG)).unwrap();
+        read(&socket).unwrap();
+        // An unknown way of proof, so that the router switches to the older one.
+        let flags: u32 = 1 << 9 | 1 << 15 | 1 << 19;
+        let login = [&flags.to_le_bytes()[..], &[0; 28], b"till\0\0odd_plugin\0"].concat();
+        (&socket).write_all(&packets(1, &[&login])).unwrap();
+        let (_, switch) = read(&socket).unwrap();
+        let nonce = switch[switch.len() - 21..switch.len() - 1].to_vec();
+        let proof = mysql_wire::auth::proof(mysql_wire::auth::NATIVE, "secret", &nonce).unwrap();
+        (&socket).write_all(&packets(3, &[&proof])).unwrap();
+        assert_eq!(read(&socket).unwrap().1[0], 0);
+        Raw(socket)
+    }
+
+    /// Sends a command and reads as many payloads.
+    fn ask(&self, command: &[u8], answers: usize) -> Vec<Vec<u8>> {
+        (&self.0).write_all(&packets(0, &[command])).unwrap();
+        let answer = |i| {
+            let (sequence, payload) = read(&self.0).unwrap();
+            assert_eq!(sequence as usize, i + 1);
+            payload
+        };
+        (0..answers).map(answer).collect()
+    }
+
+    fn error(&self, command: &[u8]) -> u16 {
+        let answer = &self.ask(command, 1)[0];
+        assert_eq!(answer[0], 0xff, "{answer:?}");
+        u16::from_le_bytes([answer[1], answer[2]])
+    }
+}
+
+#[test]
+fn the_rest_of_the_statement_commands_is_spoken() {
+    let site = Site::start();
+    let raw = Raw::connect(site.addr);
+    let sql = "SELECT who FROM stock WHERE note = ? /* c=any-read */";
+    let prepared = raw.ask(&[&[22][..], sql.as_bytes()].concat(), 5);
+    let id = prepared[0][1..5].to_vec();
+    // A long parameter in two parts, with packets that come split.
+    for part in [b"abc", b"def"] {
+        let bytes = packets(0, &[&[&[24][..], &id, &[0, 0], part].concat()]);
+        bytes.chunks(3).for_each(|c| (&raw.0).write_all(c).unwrap());
+    }
+    // With a cursor: columns at once, rows as they are fetched.
+    let execute = [&[23][..], &id, &[1, 1, 0, 0, 0, 0, 1, 0xfc, 0]].concat();
+    let head = raw.ask(&execute, 3);
+    assert_eq!(head[2], [0xfe, 0, 0, 66, 0]);
+    assert_eq!(site.replica.0.state.lock().unwrap().long, b"abcdef");
+    let fetch = |n: u8| [&[28][..], &id, &[n, 0, 0, 0]].concat();
+    assert_eq!(raw.ask(&fetch(2), 3)[2], [0xfe, 0, 0, 66, 0]);
+    assert_eq!(raw.ask(&fetch(2), 2)[1], [0xfe, 0, 0, 130, 0]);
+    assert_eq!(raw.ask(&[&[26][..], &id].concat(), 1)[0][0], 0);
+    assert_eq!(raw.error(&fetch(1)), 1421);
+    // Types that were never sent, ids that are not known, commands that are not spoken.
+    assert_eq!(raw.error(&[&[23][..], &id, &[0, 1, 0, 0, 0]].concat()), 1210);
+    assert_eq!(raw.error(&[23, 9, 9, 0, 0, 0, 1, 0, 0, 0]), 1243);
+    assert_eq!(raw.error(&[23, 9]), 1835);
+    assert_eq!(raw.error(&[17]), 1047);
+    assert_eq!(raw.error(&[27, 0, 0]), 1235);
+    assert_eq!(raw.ask(&[27, 1, 0], 1)[0], EOF);
+    (&raw.0).write_all(&packets(0, &[&[&[25][..], &id].concat()])).unwrap();
+    assert_eq!(raw.error(&execute), 1243);
+    assert_eq!(raw.ask(&[31], 1)[0][0], 0);
+    // Too long: told, and closed.
+    let long = Raw::connect(site.addr);
+    assert_eq!(long.error(&[3; 200_000]), 1153);
+    // Out of sequence: told, and closed.
+    (&raw.0).write_all(&packets(5, &[&[14]])).unwrap();
+    assert_eq!(read(&raw.0).unwrap().1[1..3], 1156u16.to_le_bytes());
+    assert!(read(&raw.0).is_err());
+}
+
+#[test]
+fn sigterm_finishes_what_was_taken() {
+    let site = Site::start();
+    let mut client = site.client();
+    site.primary.0.act(Act::Silent);
+    let waiting = std::thread::spawn(move || client.query_drop("INSERT INTO orders VALUES (3)").unwrap_err());
+    site.primary.1.recv_timeout(LONG).unwrap();
+    site.router.terminate();
+    assert_eq!(code(waiting.join().unwrap()).0, 3024);
+    assert_eq!(site.router.ended().0, Some(0));
+}
+
+#[test]
+fn bad_configuration_is_named_and_ends_the_start() {
+    let folder = Folder::new();
+    let cases = [
+        ("[mysql", "expected TOML"),
+        ("[other]\n", "'other'"),
+        (&file("").replace("database", "databases"), "'databases'"),
+        (&file("").replace("'any'", "'old'"), "class[0]: expected write, fresh"),
+        (&file("[[mysql.rule]]\nstarts = 'x'\nclass = 'none'\n"), "rule[1]: expected a listed class"),
+        (&file("[[mysql.server]]\nid = 'a'\naddr = 'b'\n"), "server[0]: expected ip:port in 'addr'"),
+    ];
+    for (text, names) in cases {
+        let path = folder.write("bad.toml", text);
+        let mut router = Program::start(&[path.to_str().unwrap()], &[]);
+        router.logged(names);
+        assert_eq!(router.ended().0, Some(1));
+    }
+}
