--- a/mysql/src/errors.rs
+++ b/mysql/src/errors.rs
@@ -1,4 +1,4 @@
-//! The one table of errors, both ways. `README.md` shows it to operators; a test holds the two together.
+//! The one table of errors, both ways. `README.md` shows it to operators.
 //!
 //! From a server, an error is one of these:
 //!
--- a/settings/src/operator.rs
+++ b/settings/src/operator.rs
@@ -3,6 +3,7 @@
 use crate::limits::Limits;
 use decision::{Class, Effect, Freshness, Settings, Tokens, WhenBehind};
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -63,9 +64,24 @@
     pub servers: Vec<Server>,
 }
 
+/// The replicated store.
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Store {
+    /// This node's number.
+    pub node: u64,
+    /// All nodes, this one included.
+    pub peers: BTreeMap<u64, SocketAddr>,
+    /// Where the log is kept; in memory alone where it is not set.
+    pub folder: Option<String>,
+    /// Where commands are answered.
+    pub control: Option<String>,
+}
+
 /// All that the operator's file says.
 #[derive(Clone, Debug)]
 pub struct Operator {
+    /// The store; alone and in memory where the file says nothing of it.
+    pub store: Store,
     /// The MySQL front.
     pub mysql: Mysql,
     /// What the module is told.
@@ -246,10 +262,38 @@
     Ok((mysql, settings, limits))
 }
 
+fn loopback(v: &Value, key: &str) -> Result<SocketAddr, String> {
+    let addr = text(v, key)?;
+    let parsed: Option<SocketAddr> = addr.parse().ok().filter(|a: &SocketAddr| a.ip().is_loopback());
+    parsed.ok_or_else(|| format!("expected ip:port on loopback in '{key}', found '{addr}'"))
+}
+
+fn store(v: &Value) -> Result<Store, String> {
+    only(v, &["node", "folder", "control", "peer"])?;
+    let peer = |p: &Value| {
+        only(p, &["node", "addr"])?;
+        Ok((whole(p, "node")?, loopback(p, "addr")?))
+    };
+    let node = whole(v, "node")?;
+    let peers: BTreeMap<u64, SocketAddr> = each(v, "peer", peer)?.into_iter().collect();
+    if node == 0 || !peers.contains_key(&node) {
+        return Err(format!("expected 'node' to be one of the peers and not 0, found {node}"));
+    }
+    let folder = v.get("folder").map(|_| owned(v, "folder")).transpose()?;
+    let control = v.get("control").map(|_| loopback(v, "control")).transpose()?;
+    Ok(Store { node, peers, folder, control: control.map(|c| c.to_string()) })
+}
+
 /// Reads the file's text.
 pub fn read(toml: &str) -> Result<Operator, String> {
     let v: Value = toml::from_str(toml).map_err(|e| format!("expected TOML: {e}"))?;
-    only(&v, &["mysql"])?;
+    only(&v, &["mysql", "store"])?;
+    let store = match v.get("store") {
+        Some(s) => store(s).map_err(|e| format!("store: {e}"))?,
+        None => {
+            Store { node: 1, peers: BTreeMap::from([(1, ([127, 0, 0, 1], 0).into())]), ..Store::default() }
+        }
+    };
     let (mysql, settings, limits) = mysql(field(&v, "mysql")?).map_err(|e| format!("mysql: {e}"))?;
-    Ok(Operator { mysql, settings, limits })
+    Ok(Operator { store, mysql, settings, limits })
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,24 +1,82 @@
 //! One router: reads its configuration, starts the core, the list and a front, and ends on SIGTERM.
 //!
-//! Without arguments it is one of the platform's routers; with the path of an operator's file it serves MySQL.
+//! Without arguments it is one of the platform's routers; with the path of an operator's file it serves MySQL;
+//! `ctl` reads and changes the store of one that runs.
 use routing::{Entry, GroupId, ListNews, MemberState};
+use serde_json::{Value, json};
+use settings::fields::{number, text, whole};
 use settings::operator::Operator;
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 fn run() -> Result<(), String> {
-    let mut arguments = std::env::args().skip(1);
-    match (arguments.next(), arguments.next()) {
-        (None, _) => platform(),
-        (Some(path), None) => {
-            let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: cannot be read: {e}"))?;
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    match &arguments[..] {
+        [] => platform(),
+        ["ctl", addr, asked @ ..] => {
+            println!("{}", store::control::command(addr, &command(asked)?)?);
+            Ok(())
+        }
+        [path] => {
+            let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: cannot be read: {e}"))?;
             mysql(settings::operator::read(&text).map_err(|e| format!("{path}: {e}"))?)
         }
-        _ => Err("usage: damsonvale [FILE.toml]".to_string()),
+        _ => Err(USAGE.to_string()),
     }
 }
 
+const USAGE: &str = "usage: damsonvale [FILE.toml]
+       damsonvale ctl ADDRESS status | list [PREFIX] | get KEY | set KEY TEXT [VERSION] | delete KEY [VERSION]
+                              | drain SERVER | undrain SERVER";
+
+/// A command's words as the store's control takes them.
+fn command(words: &[&str]) -> Result<Value, String> {
+    let version = |v: &str| v.parse::<u64>().map_err(|_| format!("expected a version, found '{v}'"));
+    Ok(match words {
+        ["status"] => json!({"do": "status"}),
+        ["list"] => json!({"do": "list"}),
+        ["list", prefix] => json!({"do": "list", "prefix": prefix}),
+        ["get", key] => json!({"do": "get", "key": key}),
+        ["set", key, text] => json!({"do": "set", "key": key, "text": text}),
+        ["set", key, text, v] => json!({"do": "set", "key": key, "text": text, "expected": version(v)?}),
+        ["delete", key] => json!({"do": "delete", "key": key}),
+        ["delete", key, v] => json!({"do": "delete", "key": key, "expected": version(v)?}),
+        [name @ ("drain" | "undrain"), server] => json!({"do": name, "server": server}),
+        _ => return Err(USAGE.to_string()),
+    })
+}
+
+/// The member list as the store holds it. A server that can't be read is left out and named in the log.
+fn members(state: &store::State) -> ListNews {
+    let entry = |(key, value): (&str, &store::Value)| {
+        let read = || {
+            let v: Value = serde_json::from_str(&value.text).map_err(|e| format!("expected JSON: {e}"))?;
+            let addr = text(&v, "addr")?;
+            let state = match text(&v, "state")? {
+                "in_service" => MemberState::Ready,
+                "draining" => MemberState::Draining,
+                x => return Err(format!("expected in_service or draining in 'state', found '{x}'")),
+            };
+            Ok(Entry {
+                id: key.trim_start_matches("server/").to_string(),
+                addr: addr.parse().map_err(|_| format!("expected ip:port in 'addr', found '{addr}'"))?,
+                group: GroupId(whole(&v, "group")? as u32),
+                zone: 0,
+                state,
+                // Who is primary, the servers say themselves when they are probed.
+                primary: false,
+                weight: number(&v, "weight")?,
+                started: None,
+            })
+        };
+        read().map_err(|e: String| eprintln!("list: {key}: {e}")).ok()
+    };
+    let entries = state.with_prefix("server/").filter_map(entry).collect();
+    ListNews { version: state.applied, complete: true, entries }
+}
+
 fn listen(name: &str, at: &str) -> Result<TcpListener, String> {
     let failed = |e| format!("listen: {at}: {e}");
     let listener = TcpListener::bind(at).map_err(failed)?;
@@ -28,26 +86,30 @@
 
 /// Serves MySQL as an operator's file says.
 fn mysql(operator: Operator) -> Result<(), String> {
-    let Operator { mysql, settings, limits } = operator;
+    let Operator { store: operator_store, mysql, settings, limits } = operator;
     let (mysql, limits) = (Arc::new(mysql), Arc::new(limits));
     let stop = signals().map_err(|e| format!("no signals: {e}"))?;
     let seed = u64::from(std::process::id()) ^ routing::Clock::new().now().0 as u64;
     let wire = mysql_wire::link::Mysql::new(mysql.clone(), limits.clone());
     let core = routing::Start { wire, settings, seed, limits: limits.clone() };
     let (handle, list) = core.run().map_err(|e| format!("the core does not start: {e}"))?;
-    let entry = |s: &settings::operator::Server| Entry {
-        id: s.id.clone(),
-        addr: s.addr,
-        group: GroupId(s.group),
-        zone: 0,
-        state: MemberState::Ready,
-        // Who is primary, the servers say themselves when they are probed.
-        primary: false,
-        weight: s.weight,
-        started: None,
+    let seed = |s: &settings::operator::Server| {
+        let value = json!({"addr": s.addr, "group": s.group, "weight": s.weight, "state": "in_service"});
+        (store::control::server_key(&s.id), value.to_string())
     };
-    let entries = mysql.servers.iter().map(entry).collect();
-    list.tell(ListNews { version: 1, complete: true, entries });
+    let set_up = store::Settings {
+        node: operator_store.node,
+        peers: operator_store.peers,
+        folder: operator_store.folder.map(Into::into),
+        seeds: mysql.servers.iter().map(seed).collect(),
+    };
+    let store = store::start(set_up, move |state| _ = list.tell(members(state)))?;
+    if let Some(at) = operator_store.control {
+        let listener = TcpListener::bind(&at).map_err(|e| format!("control: {at}: {e}"))?;
+        let at = listener.local_addr().map_err(|e| format!("control: {e}"))?;
+        store::control::listen(listener, store).map_err(|e| format!("control: {e}"))?;
+        eprintln!("control: answering on {at}");
+    }
     let listener = listen("mysql", &mysql.listen)?;
     let front = mysql_wire::front::Front::new(handle, mysql, limits.clone(), None);
     clients::Clients::new(front, limits).serve(listener, &stop).map_err(|e| format!("the front ended: {e}"))
