Read, replay and record capture files of MySQL conversations

pcap-file parses and writes, etherparse slices and builds packets; reassembly and the decoding are ours. A test records served conversations, lists and replays them, and reads the same packets in the other byte order, as ng, and out of order with repeats. Found by it: a cut file ended in the library's bare 'Error reading bytes'; the message now says that the file is cut off, with the offset (pcap/src/capture.rs, message()).

--- a/mysql/src/front.rs
+++ b/mysql/src/front.rs
@@ -400,7 +400,7 @@
             return Err((errors::TOO_LARGE, "a long parameter is longer than what is taken".into()));
         }
         let wrong = || (errors::WRONG_ARGUMENTS, "the parameters can't be read".to_string());
-        let execution = statement.execution(rest).ok_or_else(wrong)?;
+        let execution = statement.parameters.execution(rest).ok_or_else(wrong)?;
         let (need, text) = (statement.need.clone(), statement.text.clone());
         let answer = self.ask(&need, need.class, Payload::Execute { text, body: execution.body, long })?;
         if !execution.cursor {
@@ -427,7 +427,7 @@
         let most = self.front.limits.message_bytes;
         let Ok((statement, rest)) = self.statement(body) else { return };
         let mut f = Fields(rest);
-        let Some(parameter) = f.number(2).filter(|p| (*p as usize) < statement.parameters) else {
+        let Some(parameter) = f.number(2).filter(|p| (*p as usize) < statement.parameters.count) else {
             statement.long_too_large = true;
             return;
         };
--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -38,8 +38,20 @@
 /// What a server answered: payloads, in order.
 pub type Payloads = Vec<Vec<u8>>;
 
+/// Who logs in, and where to.
+#[derive(Clone, Debug)]
+pub struct Credentials {
+    /// The user.
+    pub user: String,
+    /// Its password.
+    pub password: String,
+    /// The database.
+    pub database: String,
+}
+
 /// The MySQL wire to servers.
 pub struct Mysql {
+    credentials: Credentials,
     settings: Arc<Settings>,
     limits: Arc<Limits>,
     clock: Clock,
@@ -48,7 +60,12 @@
 impl Mysql {
     /// A wire that logs in as the settings say.
     pub fn new(settings: Arc<Settings>, limits: Arc<Limits>) -> Self {
-        Mysql { settings, limits, clock: Clock::new() }
+        let credentials = Credentials {
+            user: settings.server_user.clone(),
+            password: settings.server_password.clone(),
+            database: settings.database.clone(),
+        };
+        Mysql { credentials, settings, limits, clock: Clock::new() }
     }
 }
 
@@ -98,7 +115,7 @@
         socket.set_read_timeout(Some(left)).map_err(failed)?;
         socket.set_write_timeout(Some(self.limits.connect)).map_err(failed)?;
         let mut reader = Reader::new(self.limits.answer_bytes);
-        login(&socket, &mut reader, &self.settings).map_err(|e| match errors::meaning(e.0) {
+        login(&socket, &mut reader, &self.credentials).map_err(|e| match errors::meaning(e.0) {
             Meaning::Outcome(Outcome::Full) => Outcome::Full,
             _ => {
                 eprintln!("server {addr}: no login: {}", e.1);
@@ -112,7 +129,11 @@
 }
 
 /// Logs in; an error is a server's code, or 0, and a text.
-fn login(socket: &TcpStream, reader: &mut Reader, settings: &Settings) -> Result<(), (u16, String)> {
+pub fn login(
+    socket: &TcpStream,
+    reader: &mut Reader,
+    credentials: &Credentials,
+) -> Result<(), (u16, String)> {
     let own = |text: &str| (0, text.to_string());
     let next = |reader: &mut Reader| -> Result<Packet, (u16, String)> {
         let packet = reader.next(socket).map_err(|e| (0, format!("the connection failed: {e:?}")))?;
@@ -126,7 +147,7 @@
     if greeted.capabilities & auth::capability::PROTOCOL_41 == 0 {
         return Err(own("it does not speak protocol 4.1"));
     }
-    let password = &settings.server_password;
+    let password = &credentials.password;
     let proof = |plugin: &str, nonce: &[u8]| {
         auth::proof(plugin, password, nonce)
             .ok_or_else(|| (0, format!("it wants the unknown proof {plugin}")))
@@ -135,9 +156,9 @@
     let plugin = if greeted.plugin == auth::NATIVE { auth::NATIVE } else { auth::SHA2 };
     let answer = Login {
         capabilities: auth::USED,
-        user: settings.server_user.clone(),
+        user: credentials.user.clone(),
         proof: proof(plugin, &greeted.nonce)?,
-        database: Some(settings.database.clone()),
+        database: Some(credentials.database.clone()),
         plugin: plugin.to_string(),
     };
     let send = |after: u8, payload: &[u8]| {
--- a/mysql/src/prepared.rs
+++ b/mysql/src/prepared.rs
@@ -13,10 +13,8 @@
     pub text: Arc<[u8]>,
     /// What it needs.
     pub need: Need,
-    /// How many parameters it takes.
-    pub parameters: usize,
-    /// The parameters' types as the client last sent them.
-    types: Vec<u8>,
+    /// Its parameters.
+    pub parameters: Parameters,
     /// Long parameters sent ahead.
     pub long: BTreeMap<u16, Vec<u8>>,
     /// They grew beyond what is taken.
@@ -25,6 +23,14 @@
     pub cursor: Option<Cursor>,
 }
 
+/// A statement's parameters.
+pub struct Parameters {
+    /// How many it takes.
+    pub count: usize,
+    /// Their types as the client last sent them.
+    pub types: Vec<u8>,
+}
+
 /// An execution for a server: its body behind the statement's id.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Execution {
@@ -37,10 +43,19 @@
 impl Prepared {
     /// A statement just prepared.
     pub fn new(text: Arc<[u8]>, need: Need, parameters: usize) -> Self {
-        let (types, long) = (Vec::new(), BTreeMap::new());
-        Prepared { text, need, parameters, types, long, long_too_large: false, cursor: None }
+        let parameters = Parameters { count: parameters, types: Vec::new() };
+        Prepared { text, need, parameters, long: BTreeMap::new(), long_too_large: false, cursor: None }
     }
 
+    /// Drops what a reset drops.
+    pub fn reset(&mut self) {
+        self.long.clear();
+        self.long_too_large = false;
+        self.cursor = None;
+    }
+}
+
+impl Parameters {
     /// Reads the client's execution. Its types are always sent on: the server connection may be another one
     /// each time.
     pub fn execution(&mut self, payload: &[u8]) -> Option<Execution> {
@@ -50,12 +65,12 @@
             return None;
         }
         let mut body = vec![0, 1, 0, 0, 0];
-        if self.parameters > 0 {
-            body.extend_from_slice(f.bytes(self.parameters.div_ceil(8))?);
+        if self.count > 0 {
+            body.extend_from_slice(f.bytes(self.count.div_ceil(8))?);
             if f.number(1)? == 1 {
-                self.types = f.bytes(2 * self.parameters)?.to_vec();
+                self.types = f.bytes(2 * self.count)?.to_vec();
             }
-            if self.types.len() != 2 * self.parameters {
+            if self.types.len() != 2 * self.count {
                 return None;
             }
             body.push(1);
@@ -64,13 +79,6 @@
         }
         Some(Execution { body, cursor: flags == 1 })
     }
-
-    /// Drops what a reset drops.
-    pub fn reset(&mut self) {
-        self.long.clear();
-        self.long_too_large = false;
-        self.cursor = None;
-    }
 }
 
 /// Rows that a client fetches a few at a time. They stand in the router: server connections are shared.
--- /dev/null
+++ b/pcap/src/replay.rs
@@ -0,0 +1,133 @@
+//! Sends a capture's requests through a router, in order and one at a time, each conversation on a connection of
+//! its own. Writes go out only where they are asked for.
+use crate::conversations::{Asked, Request};
+use mysql_wire::link::{Credentials, login};
+use mysql_wire::packet::{Fields, Reader, write_command};
+use mysql_wire::results::State;
+use mysql_wire::statement::scan;
+use mysql_wire::{command, errors};
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// The longest answer that is read.
+const MOST: usize = 64 << 20;
+
+/// How a replay went.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Replayed {
+    /// Requests that were answered.
+    pub answered: usize,
+    /// Requests that ended in an error.
+    pub errors: usize,
+    /// Writes that were not sent.
+    pub left_out: usize,
+}
+
+struct Connection {
+    socket: TcpStream,
+    reader: Reader,
+    prepared: HashMap<Vec<u8>, u32>,
+}
+
+/// Replays requests; `told` hears of each how it ended.
+pub fn replay(
+    requests: &[Request],
+    router: SocketAddr,
+    credentials: &Credentials,
+    writes: bool,
+    mut told: impl FnMut(&Request, &str),
+) -> Result<Replayed, String> {
+    let mut connections: HashMap<SocketAddr, Connection> = HashMap::new();
+    let mut done = Replayed::default();
+    for r in requests {
+        let reads = std::str::from_utf8(r.asked.text()).is_ok_and(|t| scan(t).reads());
+        if !reads && !writes {
+            done.left_out += 1;
+            told(r, "left out: it may write");
+            continue;
+        }
+        let c = match connections.entry(r.client) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(new) => new.insert(Connection::open(router, credentials)?),
+        };
+        match c.ask(&r.asked).map_err(|e| format!("{router}: {e}"))? {
+            None => {
+                done.answered += 1;
+                told(r, "answered");
+            }
+            Some(code) => {
+                done.errors += 1;
+                told(r, &format!("error {code}"));
+            }
+        }
+    }
+    Ok(done)
+}
+
+impl Connection {
+    fn open(router: SocketAddr, credentials: &Credentials) -> Result<Connection, String> {
+        let failed = |e: std::io::Error| format!("{router}: {e}");
+        let socket = TcpStream::connect_timeout(&router, Duration::from_secs(5)).map_err(failed)?;
+        socket.set_nodelay(true).map_err(failed)?;
+        socket.set_read_timeout(Some(Duration::from_secs(60))).map_err(failed)?;
+        let mut reader = Reader::new(MOST);
+        login(&socket, &mut reader, credentials).map_err(|(_, e)| format!("{router}: no login: {e}"))?;
+        Ok(Connection { socket, reader, prepared: HashMap::new() })
+    }
+
+    fn payload(&mut self) -> Result<Vec<u8>, String> {
+        self.reader.next(&self.socket).map(|p| p.payload).map_err(|e| format!("the connection failed: {e:?}"))
+    }
+
+    /// Sends a request and reads its answer: the code of an error, if it was one.
+    fn ask(&mut self, asked: &Asked) -> Result<Option<u16>, String> {
+        let sent = |r: std::io::Result<()>| r.map_err(|e| format!("the connection failed: {e}"));
+        match asked {
+            Asked::Query(text) => sent(write_command(&self.socket, &[&[command::QUERY], text]))?,
+            Asked::Execute { text, body, long } => {
+                let id = match self.prepared.get(text) {
+                    Some(id) => *id,
+                    None => {
+                        sent(write_command(&self.socket, &[&[command::STMT_PREPARE], text]))?;
+                        let first = self.payload()?;
+                        if let Some(code) = errors::code(&first) {
+                            return Ok(Some(code));
+                        }
+                        let mut f = Fields(first.get(1..).unwrap_or(&[]));
+                        let (Some(id), Some(columns), Some(parameters)) =
+                            (f.number(4), f.number(2), f.number(2))
+                        else {
+                            return Err("the answer to a prepare can't be read".into());
+                        };
+                        let follow: u64 =
+                            [parameters, columns].iter().filter(|n| **n > 0).map(|n| n + 1).sum();
+                        for _ in 0..follow {
+                            self.payload()?;
+                        }
+                        self.prepared.insert(text.clone(), id as u32);
+                        id as u32
+                    }
+                };
+                for (n, bytes) in long {
+                    let head =
+                        [&[command::STMT_SEND_LONG_DATA][..], &id.to_le_bytes(), &n.to_le_bytes()].concat();
+                    sent(write_command(&self.socket, &[&head, bytes]))?;
+                }
+                sent(write_command(&self.socket, &[&[command::STMT_EXECUTE], &id.to_le_bytes(), body]))?;
+            }
+        }
+        let mut state = State::Start;
+        loop {
+            let p = self.payload()?;
+            state.take(&p);
+            match state {
+                State::Done => return Ok(None),
+                State::Failed => return Ok(errors::code(&p)),
+                State::Malformed => return Err("an answer can't be read".into()),
+                _ => {}
+            }
+        }
+    }
+}
--- a/settings/src/operator.rs
+++ b/settings/src/operator.rs
@@ -77,9 +77,20 @@
     pub control: Option<String>,
 }
 
+/// A recording of what the front serves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    /// The capture file, written anew at each start.
+    pub file: String,
+    /// It ends at this many bytes.
+    pub capacity: u64,
+}
+
 /// All that the operator's file says.
 #[derive(Clone, Debug)]
 pub struct Operator {
+    /// The recording, where one is wanted.
+    pub record: Option<Record>,
     /// The store; alone and in memory where the file says nothing of it.
     pub store: Store,
     /// The MySQL front.
@@ -287,7 +298,7 @@
 /// Reads the file's text.
 pub fn read(toml: &str) -> Result<Operator, String> {
     let v: Value = toml::from_str(toml).map_err(|e| format!("expected TOML: {e}"))?;
-    only(&v, &["mysql", "store"])?;
+    only(&v, &["mysql", "store", "record"])?;
     let store = match v.get("store") {
         Some(s) => store(s).map_err(|e| format!("store: {e}"))?,
         None => {
@@ -295,5 +306,10 @@
         }
     };
     let (mysql, settings, limits) = mysql(field(&v, "mysql")?).map_err(|e| format!("mysql: {e}"))?;
-    Ok(Operator { store, mysql, settings, limits })
+    let record = |r: &Value| {
+        only(r, &["file", "capacity_mb"])?;
+        Ok(Record { file: owned(r, "file")?, capacity: (positive(r, "capacity_mb")? * 1e6) as u64 })
+    };
+    let record = v.get("record").map(record).transpose().map_err(|e: String| format!("record: {e}"))?;
+    Ok(Operator { record, store, mysql, settings, limits })
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,6 +19,8 @@
             println!("{}", store::control::command(addr, &command(asked)?)?);
             Ok(())
         }
+        ["requests", path] => requests(path),
+        ["replay", path, router, user, database, asked @ ..] => replay(path, router, user, database, asked),
         [path] => {
             let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: cannot be read: {e}"))?;
             mysql(settings::operator::read(&text).map_err(|e| format!("{path}: {e}"))?)
@@ -29,7 +31,49 @@
 
 const USAGE: &str = "usage: damsonvale [FILE.toml]
        damsonvale ctl ADDRESS status | list [PREFIX] | get KEY | set KEY TEXT [VERSION] | delete KEY [VERSION]
-                              | drain SERVER | undrain SERVER";
+                              | drain SERVER | undrain SERVER
+       damsonvale requests FILE.pcap
+       damsonvale replay FILE.pcap ADDRESS USER DATABASE [--writes]   (password in $DAMSONVALE_PASSWORD)";
+
+/// Lists a capture's requests. What comes before a fault in the file is listed all the same.
+fn requests(path: &str) -> Result<(), String> {
+    let (found, ended) = read_capture(path)?;
+    for r in &found.requests {
+        let text = String::from_utf8_lossy(r.asked.text());
+        println!("{:.6}\t{}\t{:?}\t{}", r.at.as_secs_f64(), r.client, r.ended, text.escape_debug());
+    }
+    ended
+}
+
+type Capture = (pcap::conversations::Found, Result<(), String>);
+
+fn read_capture(path: &str) -> Result<Capture, String> {
+    let file = std::fs::File::open(path).map_err(|e| format!("{path}: cannot be read: {e}"))?;
+    let (found, ended) = pcap::conversations::read(file);
+    found.remarks.iter().for_each(|r| eprintln!("{path}: {r}"));
+    Ok((found, ended.map_err(|e| format!("{path}: {e}"))))
+}
+
+/// Replays a whole capture through a router.
+fn replay(path: &str, router: &str, user: &str, database: &str, asked: &[&str]) -> Result<(), String> {
+    let writes = match asked {
+        [] => false,
+        ["--writes"] => true,
+        _ => return Err(USAGE.to_string()),
+    };
+    let (found, ended) = read_capture(path)?;
+    ended?;
+    let at = router.parse().map_err(|_| format!("expected ip:port, found '{router}'"))?;
+    let password = std::env::var("DAMSONVALE_PASSWORD").unwrap_or_default();
+    let (user, database) = (user.to_string(), database.to_string());
+    let credentials = mysql_wire::link::Credentials { user, password, database };
+    let told = |r: &pcap::conversations::Request, how: &str| {
+        println!("{how}\t{}", String::from_utf8_lossy(r.asked.text()).escape_debug());
+    };
+    let done = pcap::replay::replay(&found.requests, at, &credentials, writes, told)?;
+    println!("{} answered, {} errors, {} writes left out", done.answered, done.errors, done.left_out);
+    Ok(())
+}
 
 /// A command's words as the store's control takes them.
 fn command(words: &[&str]) -> Result<Value, String> {
@@ -86,7 +130,7 @@
 
 /// Serves MySQL as an operator's file says.
 fn mysql(operator: Operator) -> Result<(), String> {
-    let Operator { store: operator_store, mysql, settings, limits } = operator;
+    let Operator { record, store: operator_store, mysql, settings, limits } = operator;
     let (mysql, limits) = (Arc::new(mysql), Arc::new(limits));
     let stop = signals().map_err(|e| format!("no signals: {e}"))?;
     let seed = u64::from(std::process::id()) ^ routing::Clock::new().now().0 as u64;
@@ -111,7 +155,14 @@
         eprintln!("control: answering on {at}");
     }
     let listener = listen("mysql", &mysql.listen)?;
-    let front = mysql_wire::front::Front::new(handle, mysql, limits.clone(), None);
+    let tap: Option<Arc<dyn mysql_wire::Tap>> = match record {
+        None => None,
+        Some(r) => {
+            let at = listener.local_addr().map_err(|e| format!("record: {e}"))?;
+            Some(Arc::new(pcap::record::Recorder::start(r.file.as_ref(), r.capacity, at)?))
+        }
+    };
+    let front = mysql_wire::front::Front::new(handle, mysql, limits.clone(), tap);
     clients::Clients::new(front, limits).serve(listener, &stop).map_err(|e| format!("the front ended: {e}"))
 }
 
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -239,7 +239,7 @@
     addr: SocketAddr,
     primary: (Server, Receiver<String>),
     replica: (Server, Receiver<String>),
-    _folder: Folder,
+    folder: Folder,
 }
 
 const ORDER: &str = "INSERT INTO orders VALUES (?) /* c=order-place,d=1500,s=till */";
@@ -259,13 +259,18 @@
 
 impl Site {
     fn start() -> Site {
+        Site::with(|_| String::new())
+    }
+
+    /// With more in its file.
+    fn with(more: impl Fn(&Folder) -> String) -> Site {
         let (primary, replica) = (Server::start("primary", false), Server::start("replica", true));
         let of = |s: &Server| format!("[[mysql.server]]\nid = '{}'\naddr = '{}'\n", s.name, s.addr);
         let folder = Folder::new();
-        let path = folder.write("mysql.toml", &file(&(of(&primary.0) + &of(&replica.0))));
+        let path = folder.write("mysql.toml", &(file(&(of(&primary.0) + &of(&replica.0))) + &more(&folder)));
         let mut router = Program::start(&[path.to_str().unwrap()], &[]);
         let addr = router.listening();
-        let site = Site { router, addr, primary, replica, _folder: folder };
+        let site = Site { router, addr, primary, replica, folder };
         // The replica is trusted once it has been probed.
         let mut client = site.client();
         assert!((0..50).any(|_| client.query_first::<String, _>(STOCK).unwrap().unwrap() == "replica"));
@@ -571,3 +576,144 @@
         assert_eq!(router.ended().0, Some(1));
     }
 }
+
+/// Runs a command of the program to its end: exit code, output, log.
+fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let mut program = Program::start(arguments, &[("DAMSONVALE_PASSWORD", "secret")]);
+    let log = std::mem::replace(&mut program.log, channel().1);
+    let (code, out) = program.ended();
+    (code, out, log.iter().collect::<Vec<_>>().join("\n"))
+}
+
+/// The packets of a classic file of this machine's byte order: heads and bytes.
+fn packets_of(file: &[u8]) -> Vec<([u32; 4], Vec<u8>)> {
+    let (mut at, mut all) = (24, Vec::new());
+    while at < file.len() {
+        let head = [0, 4, 8, 12].map(|n| u32::from_le_bytes(file[at + n..at + n + 4].try_into().unwrap()));
+        let end = at + 16 + head[2] as usize;
+        all.push((head, file[at + 16..end].to_vec()));
+        at = end;
+    }
+    all
+}
+
+/// A block of an ng file of the other byte order.
+fn block(kind: u32, body: &[u8]) -> Vec<u8> {
+    let body = [body, &vec![0; body.len().next_multiple_of(4) - body.len()]].concat();
+    let length = (body.len() as u32 + 12).to_be_bytes();
+    [&kind.to_be_bytes()[..], &length, &body, &length].concat()
+}
+
+#[test]
+fn a_recording_is_listed_and_replayed() {
+    let record =
+        |f: &Folder| format!("[record]\nfile = '{}'\ncapacity_mb = 1\n", f.0.join("served.pcap").display());
+    let site = Site::with(record);
+    let path = site.folder.0.join("served.pcap");
+    let path = path.to_str().unwrap();
+    let mut client = site.client();
+    let by_note = client.prep("SELECT who FROM stock WHERE note = ? /* c=any-read */").unwrap();
+    let _: Vec<String> = client.exec(&by_note, ("n".repeat(40_000),)).unwrap();
+    let order = client.prep(ORDER).unwrap();
+    client.exec_drop(&order, (7,)).unwrap();
+    client.exec_drop(&order, (8,)).unwrap();
+    site.primary.0.act(Act::Error(1062));
+    client.query_drop("INSERT INTO orders VALUES (1)").unwrap_err();
+    site.primary.0.act(Act::Serve);
+    drop(client);
+    // The recording never holds a conversation up, so it may come to disk behind the client's end.
+    let begun = Instant::now();
+    let listed = loop {
+        let (_, out, _) = run(&["requests", path]);
+        if out.contains("VALUES (1)") {
+            break out;
+        }
+        assert!(begun.elapsed() < LONG, "{out}");
+    };
+    let told: Vec<&str> = listed.lines().filter(|l| !l.contains("SELECT")).collect();
+    assert_eq!(told.len(), 3, "{listed}");
+    assert!(told[0].contains("Answered") && told[0].contains(ORDER) && told[2].contains("Error(1062)"));
+    assert_eq!(listed.lines().filter(|l| l.contains("WHERE note = ?")).count(), 1);
+
+    // Replayed through the router: reads alone, and writes where they are asked for.
+    let file = std::fs::read(path).unwrap();
+    let kept = site.folder.0.join("kept.pcap");
+    std::fs::write(&kept, &file).unwrap();
+    let kept = kept.to_str().unwrap();
+    let router = site.addr.to_string();
+    let (before, reads) = (site.orders(ORDER), listed.lines().filter(|l| l.contains("SELECT")).count());
+    let (code, out, log) = run(&["replay", kept, &router, "till", "stock"]);
+    assert_eq!(code, Some(0), "{log}");
+    assert!(out.ends_with(&format!("{reads} answered, 0 errors, 3 writes left out\n")), "{out}");
+    assert_eq!(site.orders(ORDER), before);
+    let (_, out, _) = run(&["replay", kept, &router, "till", "stock", "--writes"]);
+    assert!(out.ends_with(&format!("{} answered, 0 errors, 0 writes left out\n", reads + 3)), "{out}");
+    assert_eq!(site.orders(ORDER), before + 2);
+
+    // The same packets in the other byte order, as an ng file, out of order and twice: the same requests.
+    let packets = packets_of(&file);
+    let swapped = |words: &[u32]| words.iter().flat_map(|w| w.to_be_bytes()).collect::<Vec<u8>>();
+    let mut classic = swapped(&[0xa1b2_c3d4, 0x0002_0004, 0, 0, 262_144, 1]);
+    let mut ng = [
+        block(0x0a0d_0d0a, &[&swapped(&[0x1a2b_3c4d, 0x0001_0000])[..], &[0xff; 8]].concat()),
+        block(1, &[0, 1, 0, 0, 0, 4, 0, 0]),
+    ]
+    .concat();
+    for (head, bytes) in &packets {
+        classic.extend([swapped(head), bytes.clone()].concat());
+        let at = u64::from(head[0]) * 1_000_000 + u64::from(head[1]);
+        ng.extend(block(
+            6,
+            &[swapped(&[0, (at >> 32) as u32, at as u32, head[2], head[3]]), bytes.clone()].concat(),
+        ));
+    }
+    let mut mixed = file[..24].to_vec();
+    for pair in packets.chunks(2) {
+        for (head, bytes) in pair.iter().rev().chain(pair.first()) {
+            head.iter().for_each(|w| mixed.extend(w.to_le_bytes()));
+            mixed.extend(bytes);
+        }
+    }
+    let whole = run(&["requests", kept]).1;
+    for bytes in [classic, ng, mixed] {
+        let other = site.folder.0.join("other.pcap");
+        std::fs::write(&other, bytes).unwrap();
+        let (code, out, log) = run(&["requests", other.to_str().unwrap()]);
+        let sorted = |s: &str| {
+            let mut lines: Vec<String> =
+                s.lines().map(|l| l.split_once('\t').unwrap().1.to_string()).collect();
+            lines.sort();
+            lines
+        };
+        assert_eq!((code, sorted(&out)), (Some(0), sorted(&whole)), "{log}");
+    }
+
+    // Cut off within its last packet: what came before is listed, and the message names the place.
+    let cut = site.folder.0.join("cut.pcap");
+    std::fs::write(&cut, &file[..file.len() - 5]).unwrap();
+    let (code, out, log) = run(&["requests", cut.to_str().unwrap()]);
+    assert_eq!(code, Some(1));
+    assert!(log.contains("behind offset") && log.contains("cut off"), "{log}");
+    assert!(out.contains(ORDER));
+    for foreign in [&b""[..], b"abc", b"a text that is no capture", &[0x0a, 0x0d, 0x0d, 0x0a, 9], &file[..20]]
+    {
+        std::fs::write(&cut, foreign).unwrap();
+        let (code, _, log) = run(&["requests", cut.to_str().unwrap()]);
+        assert_eq!(code, Some(1));
+        assert!(log.contains("offset") && !log.contains("panic"), "{log}");
+    }
+}
+
+#[test]
+fn a_recording_ends_at_its_capacity() {
+    let record =
+        |f: &Folder| format!("[record]\nfile = '{}'\ncapacity_mb = 0.01\n", f.0.join("small.pcap").display());
+    let mut site = Site::with(record);
+    let mut client = site.client();
+    for _ in 0..200 {
+        client.query_drop(STOCK).unwrap();
+    }
+    site.router.logged("record: the file is full");
+    drop(client);
+    assert!(std::fs::metadata(site.folder.0.join("small.pcap")).unwrap().len() <= 10_000);
+}
