--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -5,7 +5,7 @@
 use crate::errors::{self, Meaning};
 use crate::packet::{Broken, Fields, Packet, Reader, push, write_command, write_ready};
 use crate::results::{State, text_row};
-use routing::wire::{Link, Reply, Stop, Unsent, Wire, Work, idle_and_open};
+use routing::wire::{Link, Reply, Stop, Unsent, Wire, Work, connect, idle_and_open};
 use routing::{Clock, Outcome, Report, Time};
 use settings::Limits;
 use settings::operator::Mysql as Settings;
@@ -106,14 +106,7 @@
     type Link = MysqlLink;
 
     fn open(&self, addr: SocketAddr) -> Result<MysqlLink, Outcome> {
-        let begun = Instant::now();
-        let failed = |_: io::Error| Outcome::ConnectFailed;
-        let socket = TcpStream::connect_timeout(&addr, self.limits.connect).map_err(failed)?;
-        socket.set_nodelay(true).map_err(failed)?;
-        // The connection as a whole has to come up in time, its login included.
-        let left = self.limits.connect.saturating_sub(begun.elapsed()).max(Duration::from_millis(20));
-        socket.set_read_timeout(Some(left)).map_err(failed)?;
-        socket.set_write_timeout(Some(self.limits.connect)).map_err(failed)?;
+        let socket = connect(addr, &self.limits).map_err(|_| Outcome::ConnectFailed)?;
         let mut reader = Reader::new(self.limits.answer_bytes);
         login(&socket, &mut reader, &self.credentials).map_err(|e| match errors::meaning(e.0) {
             Meaning::Outcome(Outcome::Full) => Outcome::Full,
--- a/postgres/src/link.rs
+++ b/postgres/src/link.rs
@@ -2,7 +2,7 @@
 use crate::message::{Buffer, push, write_gathered};
 use crate::message::{error_field, parameter};
 use crate::statement::Statement;
-use routing::wire::{Link, Reply, Stop, Unsent, Wire, Work, idle_and_open};
+use routing::wire::{Link, Reply, Stop, Unsent, Wire, Work, connect, idle_and_open};
 use routing::{Outcome, Report, Time};
 use settings::Limits;
 use std::io;
@@ -39,14 +39,8 @@
     type Link = PostgresLink;
 
     fn open(&self, addr: SocketAddr) -> Result<PostgresLink, Outcome> {
-        let begun = Instant::now();
         let failed = |_: io::Error| Outcome::ConnectFailed;
-        let socket = TcpStream::connect_timeout(&addr, self.limits.connect).map_err(failed)?;
-        socket.set_nodelay(true).map_err(failed)?;
-        // The connection as a whole has to come up in time, its greeting included.
-        let left = self.limits.connect.saturating_sub(begun.elapsed()).max(Duration::from_millis(20));
-        socket.set_read_timeout(Some(left)).map_err(failed)?;
-        socket.set_write_timeout(Some(self.limits.connect)).map_err(failed)?;
+        let socket = connect(addr, &self.limits).map_err(failed)?;
         write_gathered(&socket, &[b"\0\0\0\x26\0\x03\0\0user\0worker\0database\0catalog\0\0"])
             .map_err(failed)?;
         let mut buffer = Buffer::new(self.limits.message_bytes);
--- a/routing/src/wire.rs
+++ b/routing/src/wire.rs
@@ -1,9 +1,10 @@
 //! What the core asks of a wire.
 use decision::{Outcome, Report};
+use settings::Limits;
 use std::io::{self, IoSlice, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One piece of work for a link.
 pub enum Work<'a, W: Wire> {
@@ -126,6 +127,18 @@
     quiet().unwrap_or(false)
 }
 
+/// A connection to an instance, with what is left of `limits.connect` as the bound of each read while it comes up.
+pub fn connect(addr: SocketAddr, limits: &Limits) -> io::Result<TcpStream> {
+    let begun = Instant::now();
+    let socket = TcpStream::connect_timeout(&addr, limits.connect)?;
+    socket.set_nodelay(true)?;
+    // The connection as a whole has to come up in time, its greeting included.
+    let left = limits.connect.saturating_sub(begun.elapsed()).max(Duration::from_millis(20));
+    socket.set_read_timeout(Some(left))?;
+    socket.set_write_timeout(Some(limits.connect))?;
+    Ok(socket)
+}
+
 /// Writes all parts, gathered into as few calls as the socket takes them in.
 pub fn write_gathered(mut to: &TcpStream, parts: &mut [IoSlice<'_>]) -> io::Result<()> {
     let mut left = parts;
