Follow SIGHUP, and retire an idle client connection in one atomic step

Excluded: links (a pooled link is looked at before each use; no attempt of ours repeats an order).

Changed: the count of open commands and the mark that retires a connection are one word, so a command is either taken before or never. Room is made at those that sent no startup first, then at those idle for 2 s, the longest first; before, any connection in hash order. Startups and commands have to be whole in time; buffers grow with the bytes that come, not with the length that is claimed. SIGHUP is read anew by `settings`; the watch moves and the old one stays until the new one has brought something. The MySQL front takes users and rules anew.

--- a/clients/src/lib.rs
+++ b/clients/src/lib.rs
@@ -2,11 +2,13 @@
 //! without a request lost.
 use crossbeam_channel::{Receiver, bounded};
 use routing::spawn;
+use routing::wire::idle_and_open;
 use settings::Limits;
+use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::io;
+use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -16,42 +18,129 @@
     fn talk(self: &Arc<Self>, connection: &Arc<Connection>);
 }
 
+/// Set in [`Connection::owed`] once the connection takes no more commands.
+const RETIRED: usize = 1 << (usize::BITS - 1);
+
 /// A client's connection.
 pub struct Connection {
     /// Its socket.
     pub socket: TcpStream,
     /// Its number, not used twice.
     pub number: u64,
-    /// Commands read and not answered yet.
+    since: Instant,
+    limits: Arc<Limits>,
+    /// Commands read and not answered yet. A count and a mark in one word: a command is either taken before the
+    /// connection is retired, or never, so that none is carried out whose client is told to ask elsewhere.
     owed: AtomicUsize,
+    /// The startup has been read.
+    greeted: AtomicBool,
+    /// A command has been read.
+    asked: AtomicBool,
+    /// When nothing was owed last, in milliseconds since it was opened.
+    quiet_ms: AtomicU64,
     closing: Arc<AtomicBool>,
 }
 
 impl Connection {
-    /// A command has been read: the connection stays open until it is paid.
-    pub fn owe(&self) {
-        self.owed.fetch_add(1, Ordering::SeqCst);
+    /// A command has been read: the connection stays open until it is paid. `false` where it is retired
+    /// already; then the command must not be carried out, its client sends it elsewhere.
+    #[must_use]
+    pub fn owe(&self) -> bool {
+        self.asked.store(true, Ordering::Relaxed);
+        let more = |n: usize| (n & RETIRED == 0).then_some(n + 1);
+        self.owed.fetch_update(Ordering::SeqCst, Ordering::SeqCst, more).is_ok()
     }
 
     /// A command is answered or needs no answer. At shutdown, this lets the connection go.
     pub fn paid(&self) {
+        self.quiet_ms.store(self.since.elapsed().as_millis() as u64, Ordering::Relaxed);
         self.owed.fetch_sub(1, Ordering::SeqCst);
-        if self.closing.load(Ordering::SeqCst) {
-            self.close_if_nothing_owed();
+        if self.closing.load(Ordering::SeqCst) && self.silent() {
+            self.retire();
         }
     }
 
+    /// The startup has been read.
+    pub fn greeted(&self) {
+        self.greeted.store(true, Ordering::Relaxed);
+    }
+
     /// Ends the connection for both threads that stand on it.
     pub fn close(&self) {
         // An error means that it is closed already.
         _ = self.socket.shutdown(Shutdown::Both);
     }
 
-    fn close_if_nothing_owed(&self) {
-        if self.owed.load(Ordering::SeqCst) == 0 {
+    /// Ends the connection if nothing is owed on it.
+    pub fn retire(&self) -> bool {
+        let retired = self.owed.compare_exchange(0, RETIRED, Ordering::SeqCst, Ordering::SeqCst).is_ok();
+        if retired {
             self.close();
         }
+        retired
     }
+
+    /// How long nothing has been owed.
+    fn quiet(&self) -> Duration {
+        self.since.elapsed().saturating_sub(Duration::from_millis(self.quiet_ms.load(Ordering::Relaxed)))
+    }
+
+    /// Nothing has come that waits to be read.
+    fn silent(&self) -> bool {
+        idle_and_open(&self.socket)
+    }
+
+    /// Reads the startup, which has to be whole within [`Limits::client_start`] of connecting.
+    pub fn startup(&self) -> Timed<'_> {
+        Timed {
+            socket: &self.socket,
+            until: self.since + self.limits.client_start,
+            begun: true,
+            whole: Duration::ZERO,
+        }
+    }
+
+    /// Reads a command: it may let wait for itself, but once begun it has to come whole within
+    /// [`Limits::client_message`].
+    pub fn command(&self, begun: bool) -> Timed<'_> {
+        let (now, whole) = (Instant::now(), self.limits.client_message);
+        let until = match (begun, self.asked.load(Ordering::Relaxed)) {
+            (true, _) => now + whole,
+            (false, true) => now + self.limits.client_idle,
+            (false, false) => self.since + self.limits.client_first,
+        };
+        Timed { socket: &self.socket, until, begun, whole }
+    }
+}
+
+/// Reads a connection up to a moment: a client that falls silent, or sends a byte now and then, must not hold its
+/// place for good.
+pub struct Timed<'a> {
+    socket: &'a TcpStream,
+    until: Instant,
+    begun: bool,
+    whole: Duration,
+}
+
+impl Read for Timed<'_> {
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        let left = self.until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.socket.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+        let mut socket = self.socket;
+        let got = socket.read(to)?;
+        if !std::mem::replace(&mut self.begun, true) {
+            self.until = Instant::now() + self.whole;
+        }
+        Ok(got)
+    }
+}
+
+/// A read that ended because its time was up.
+pub fn timed_out(e: &io::Error) -> bool {
+    matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
 }
 
 /// All connections of one front.
@@ -106,7 +195,7 @@
             if open.is_empty() {
                 break;
             }
-            open.iter().for_each(|c| c.close_if_nothing_owed());
+            open.iter().filter(|c| c.silent()).for_each(|c| _ = c.retire());
             std::thread::sleep(Duration::from_millis(5));
         }
         eprintln!("shutdown: ended with {} connections left", self.open().len());
@@ -131,18 +220,28 @@
         }
     }
 
-    /// At the bound, an idle connection makes room (one between two requests may be closed); where none is
-    /// idle, the next one waits unaccepted until one is.
+    /// At the bound, a connection that says nothing makes room; where none may be let go, the next one waits
+    /// unaccepted until one may.
     fn make_room(&self) {
         loop {
-            let all = self.open();
-            if all.len() < self.limits.client_connections {
-                return;
-            }
-            if let Some(idle) = all.values().find(|c| c.owed.load(Ordering::SeqCst) == 0) {
-                idle.close();
+            {
+                let all = self.open();
+                if all.len() < self.limits.client_connections {
+                    return;
+                }
+                // First who connected and sent no startup, then who asked nothing for the longest time. Silence
+                // is looked up at the socket: under load, a reader may lag behind what has come.
+                let spent = |c: &&Arc<Connection>| {
+                    let least = match c.greeted.load(Ordering::Relaxed) {
+                        true => self.limits.client_idle_least,
+                        false => self.limits.client_start_least,
+                    };
+                    c.quiet() >= least && c.owed.load(Ordering::SeqCst) == 0
+                };
+                let mut found: Vec<&Arc<Connection>> = all.values().filter(spent).collect();
+                found.sort_unstable_by_key(|c| (c.greeted.load(Ordering::Relaxed), Reverse(c.quiet())));
+                found.into_iter().any(|c| c.silent() && c.retire());
             }
-            drop(all);
             std::thread::sleep(Duration::from_millis(1));
         }
     }
@@ -155,7 +254,17 @@
         }
         let number = self.next.fetch_add(1, Ordering::Relaxed) as u64;
         let closing = self.closing.clone();
-        let connection = Arc::new(Connection { socket, number, owed: AtomicUsize::new(0), closing });
+        let connection = Arc::new(Connection {
+            socket,
+            number,
+            since: Instant::now(),
+            limits: self.limits.clone(),
+            owed: AtomicUsize::new(0),
+            greeted: AtomicBool::new(false),
+            asked: AtomicBool::new(false),
+            quiet_ms: AtomicU64::new(0),
+            closing,
+        });
         self.open().insert(number, connection.clone());
         let clients = self.clone();
         let talk = move || {
--- a/mysql/src/front.rs
+++ b/mysql/src/front.rs
@@ -16,12 +16,12 @@
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, RwLock};
 
 /// What all connections of the front share.
 pub struct Front {
     handle: Handle<Mysql>,
-    settings: Arc<Settings>,
+    settings: RwLock<Arc<Settings>>,
     limits: Arc<Limits>,
     tap: Option<Arc<dyn Tap>>,
 }
@@ -34,7 +34,16 @@
         limits: Arc<Limits>,
         tap: Option<Arc<dyn Tap>>,
     ) -> Arc<Front> {
-        Arc::new(Front { handle, settings, limits, tap })
+        Arc::new(Front { handle, settings: RwLock::new(settings), limits, tap })
+    }
+
+    /// Takes other users, rules and another default group from now on.
+    pub fn reload(&self, settings: Settings) {
+        *self.settings.write().unwrap_or_else(|poisoned| poisoned.into_inner()) = Arc::new(settings);
+    }
+
+    fn settings(&self) -> Arc<Settings> {
+        self.settings.read().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
     }
 }
 
@@ -83,11 +92,8 @@
             next: 0,
         };
         let mut reader = Reader::new(self.limits.message_bytes);
-        // A client that does not log in must not hold its place for good.
-        _ = connection.socket.set_read_timeout(Some(self.limits.client_write));
-        let greeted = client.greet(&mut reader);
-        _ = connection.socket.set_read_timeout(None);
-        if greeted.is_ok() {
+        if client.greet(&mut reader).is_ok() {
+            connection.greeted();
             client.serve(reader, connection.clone());
         }
         if let Some(tap) = &self.tap {
@@ -140,14 +146,14 @@
                 self.refuse(after, errors::TOO_LARGE, &text)
             }
             Broken::OutOfOrder => self.refuse(after, errors::OUT_OF_ORDER, "packets came out of order"),
-            Broken::Ended | Broken::Failed(_) => Err(End),
+            Broken::Ended | Broken::Silent | Broken::Failed(_) => Err(End),
         }
     }
 
     fn greet(&mut self, reader: &mut Reader) -> Step {
         let Ok(nonce) = auth::nonce() else { return Err(End) };
         self.write(255, &[auth::greeting(self.connection.number as u32, &nonce)])?;
-        let next = |client: &Self, reader: &mut Reader| match reader.next(&client.connection.socket) {
+        let next = |client: &Self, reader: &mut Reader| match reader.next(client.connection.startup()) {
             Ok(p) => {
                 client.took(&p);
                 Ok(p)
@@ -169,7 +175,8 @@
             let packet = next(self, reader)?;
             (login.plugin, login.proof, last) = (auth::NATIVE.into(), packet.payload, packet.last);
         }
-        let known = self.front.settings.users.iter().find(|(name, _)| *name == login.user);
+        let settings = self.front.settings();
+        let known = settings.users.iter().find(|(name, _)| *name == login.user);
         let right = known.and_then(|(_, password)| auth::proof(&login.plugin, password, &nonce));
         if !right.is_some_and(|right| auth::same(&right, &login.proof)) {
             eprintln!("mysql: {}: access denied for user '{}'", self.from, login.user);
@@ -177,7 +184,7 @@
             return self.refuse(last, errors::ACCESS_DENIED, &text);
         }
         let wanted = login.database.as_ref();
-        if wanted.is_some_and(|d| *d != self.front.settings.database) {
+        if wanted.is_some_and(|d| *d != self.front.settings().database) {
             return self.refuse(last, errors::UNKNOWN_DATABASE, "there is no such database here");
         }
         if login.plugin == auth::SHA2 && !login.proof.is_empty() {
@@ -194,19 +201,22 @@
         let (under_way, handle) = (self.under_way.clone(), self.front.handle.clone());
         let read = move || {
             loop {
-                let next = reader.next(&connection.socket);
+                let next = reader.next(connection.command(!reader.is_empty()));
+                if matches!(next, Err(Broken::Silent)) && !connection.retire() {
+                    continue;
+                }
                 let end = next.is_err();
                 if end {
                     // Whoever is gone needs no answer; one that broke the protocol hears of it in its turn.
-                    if matches!(next, Err(Broken::Ended | Broken::Failed(_))) {
+                    if matches!(next, Err(Broken::Ended | Broken::Silent | Broken::Failed(_))) {
                         let mut u = lock(&under_way);
                         u.left = true;
                         if let Some(id) = u.request {
                             handle.left(id);
                         }
                     }
-                } else {
-                    connection.owe();
+                } else if !connection.owe() {
+                    return;
                 }
                 if to.send(next).is_err() || end {
                     return;
@@ -288,7 +298,7 @@
     }
 
     fn use_database(&self, name: &str) -> Answered {
-        if name.trim_matches('`') == self.front.settings.database {
+        if name.trim_matches('`') == self.front.settings().database {
             return Ok(vec![OK.to_vec()]);
         }
         Err((errors::UNKNOWN_DATABASE, format!("there is no database '{name}' here")))
@@ -308,7 +318,7 @@
         if scan.plain.starts_with("call ") && !self.multi_results {
             return Err((errors::NO_MULTI_RESULTS, "CALL needs a client that takes several results".into()));
         }
-        let need = need(&scan, &self.front.settings)?;
+        let need = need(&scan, &self.front.settings())?;
         Ok((scan, need))
     }
 
@@ -371,7 +381,7 @@
             ));
         }
         let text: Arc<[u8]> = body.into();
-        let mut answer = self.ask(&need, self.front.settings.prepare, Payload::Prepare(text.clone()))?;
+        let mut answer = self.ask(&need, self.front.settings().prepare, Payload::Prepare(text.clone()))?;
         let mut f = Fields(&answer[0]);
         if let (Some(0), Some(_), Some(_), Some(parameters)) =
             (f.number(1), f.number(4), f.number(2), f.number(2))
--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -91,6 +91,7 @@
             Broken::Failed(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
                 Cut::Broken(Outcome::TimedOut)
             }
+            Broken::Silent => Cut::Broken(Outcome::TimedOut),
             Broken::TooLong => Cut::TooLarge,
             _ => Cut::Broken(Outcome::Reset),
         }
--- a/mysql/src/packet.rs
+++ b/mysql/src/packet.rs
@@ -22,6 +22,8 @@
 pub enum Broken {
     /// The connection has ended between two payloads.
     Ended,
+    /// Nothing came in time, not the first byte of a payload.
+    Silent,
     /// The connection failed, or ended within a payload.
     Failed(io::Error),
     /// The payload is longer than what is taken.
@@ -61,6 +63,7 @@
             if self.is_empty() {
                 let got = match from.read(&mut self.bytes) {
                     Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                    Err(e) if !any && clients::timed_out(&e) => return Err(Broken::Silent),
                     got => got?,
                 };
                 (self.start, self.end) = (0, got);
@@ -98,8 +101,12 @@
             if at + length > self.most {
                 return Err(Broken::TooLong);
             }
-            payload.resize(at + length, 0);
-            self.exactly(&mut from, &mut payload[at..], false)?;
+            // Room is made as the bytes come: a length alone, which costs its sender nothing, must reserve none.
+            while payload.len() < at + length {
+                let from_here = payload.len();
+                payload.resize((at + length).min(from_here + 16 * 1024), 0);
+                self.exactly(&mut from, &mut payload[from_here..], false)?;
+            }
             if length < MOST {
                 return Ok(Packet { first, last: head[3], payload });
             }
--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -1,9 +1,9 @@
 //! The front for the platform's clients. Each connection has a reader, which hands requests to the module and
 //! notices a client that leaves, and a writer, which writes the answers in the order of the commands.
 use crate::link::Postgres;
-use crate::message::{Buffer, Frame, READY, push, push_error, push_parameter, write_gathered};
+use crate::message::{Buffer, Frame, READY, invalid, push, push_error, push_parameter, write_gathered};
 use crate::statement::Statement;
-use clients::{Connection, Talk};
+use clients::{Connection, Talk, timed_out};
 use crossbeam_channel::{Receiver, bounded};
 use routing::{Final, GroupId, Handle, Incoming, Outcome, RequestId, SessionId, Time, spawn};
 use settings::Limits;
@@ -34,8 +34,8 @@
     fn talk(self: &Arc<Self>, connection: &Arc<Connection>) {
         let socket = &connection.socket;
         let mut buffer = Buffer::new(self.limits.message_bytes);
-        match self.greet(&mut buffer, socket) {
-            Ok(true) => {}
+        match self.greet(&mut buffer, connection) {
+            Ok(true) => connection.greeted(),
             Ok(false) => return,
             Err(e) => return self.hang_up(socket, &e),
         }
@@ -53,12 +53,16 @@
         let mut under_way = VecDeque::with_capacity(self.limits.pipelined + 2);
         let mut skip_to_sync = false;
         let end = loop {
-            let frame = match buffer.next(socket) {
+            let frame = match buffer.next(connection.command(!buffer.is_empty())) {
                 Ok(Some(f)) if f.tag != b'X' => f,
                 Ok(_) => break None,
+                Err(e) if timed_out(&e) && !buffer.is_empty() => break Some(invalid("half a message")),
+                Err(e) if timed_out(&e) && !connection.retire() => continue,
                 Err(e) => break Some(e),
             };
-            connection.owe();
+            if !connection.owe() {
+                break None;
+            }
             let next = self.command(&buffer, &frame, &mut under_way, &mut skip_to_sync);
             match next {
                 Some(next) => {
@@ -75,8 +79,9 @@
         if let Some(e) = end.filter(|e| e.kind() == io::ErrorKind::InvalidData) {
             let mut text = Vec::new();
             push_error(&mut text, "FATAL", "08P01", &e.to_string(), None);
-            connection.owe();
-            _ = owe.send(Owed::Ready(text));
+            if connection.owe() {
+                _ = owe.send(Owed::Ready(text));
+            }
         } else {
             under_way.iter().for_each(|id| self.handle.left(*id));
         }
@@ -102,11 +107,12 @@
     }
 
     /// Reads the startup message and greets; `false` where the client wanted something else.
-    fn greet(&self, buffer: &mut Buffer, socket: &TcpStream) -> io::Result<bool> {
+    fn greet(&self, buffer: &mut Buffer, connection: &Connection) -> io::Result<bool> {
         const SSL: u32 = 80_877_103;
         const GSS: u32 = 80_877_104;
+        let socket = &connection.socket;
         loop {
-            match buffer.startup(socket)?.map(|s| s.code) {
+            match buffer.startup(connection.startup())?.map(|s| s.code) {
                 Some(SSL | GSS) => write_gathered(socket, &[b"N"])?,
                 Some(code) if code >> 16 == 3 => break,
                 // A CancelRequest needs no answer: a client gives a request up by leaving.
--- a/postgres/src/link.rs
+++ b/postgres/src/link.rs
@@ -138,7 +138,7 @@
         let (mut said, mut code, mut reusable) = (Said::default(), None, false);
         let mut broken = Outcome::Reset;
         loop {
-            let frame = match self.buffer.next(&self.socket) {
+            let frame = match self.buffer.next(&*self.socket) {
                 Ok(Some(f)) => f,
                 Ok(None) => break,
                 Err(e) => {
--- a/postgres/src/message.rs
+++ b/postgres/src/message.rs
@@ -33,7 +33,8 @@
     }
 }
 
-fn invalid(what: &str) -> io::Error {
+/// What came can't be read.
+pub fn invalid(what: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
 
@@ -53,16 +54,17 @@
         self.start == self.end
     }
 
-    /// Reads until `n` bytes stand in the buffer; `false` at an orderly end before the first of them.
-    fn fill(&mut self, mut from: &TcpStream, n: usize) -> io::Result<bool> {
+    /// Reads until `n` bytes stand in the buffer; `false` at an orderly end before the first of them. Room is made
+    /// as the bytes come: a length alone, which costs its sender nothing, must reserve none.
+    fn fill(&mut self, mut from: impl Read, n: usize) -> io::Result<bool> {
         if self.start + n > self.bytes.len() {
             self.bytes.copy_within(self.start..self.end, 0);
             (self.start, self.end) = (0, self.end - self.start);
-            if n > self.bytes.len() {
-                self.bytes.resize(n.next_power_of_two(), 0);
-            }
         }
         while self.end - self.start < n {
+            if self.end == self.bytes.len() {
+                self.bytes.resize((2 * self.bytes.len()).min(n.next_power_of_two()), 0);
+            }
             match from.read(&mut self.bytes[self.end..]) {
                 Ok(0) if self.is_empty() => return Ok(false),
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
@@ -80,22 +82,24 @@
     }
 
     /// The first message of a connection; `None` at its end.
-    pub fn startup(&mut self, from: &TcpStream) -> io::Result<Option<Startup>> {
-        if !self.fill(from, 8)? {
+    pub fn startup(&mut self, mut from: impl Read) -> io::Result<Option<Startup>> {
+        if !self.fill(&mut from, 8)? {
             return Ok(None);
         }
         let length = self.length(self.start) as usize;
         if !(8..=10_000).contains(&length) {
             return Err(invalid("a startup message of an impossible length"));
         }
-        self.fill(from, length)?;
+        if !self.fill(&mut from, length)? {
+            return Ok(None);
+        }
         let code = self.length(self.start + 4);
         self.start += length;
         Ok(Some(Startup { code }))
     }
 
     /// The next message; `None` at the connection's end between two messages.
-    pub fn next(&mut self, from: &TcpStream) -> io::Result<Option<Frame>> {
+    pub fn next(&mut self, mut from: impl Read) -> io::Result<Option<Frame>> {
         if self.is_empty() {
             (self.start, self.end) = (0, 0);
             if self.bytes.len() > 16 * 1024 {
@@ -103,14 +107,14 @@
                 self.bytes = vec![0; 1024];
             }
         }
-        if !self.fill(from, 5)? {
+        if !self.fill(&mut from, 5)? {
             return Ok(None);
         }
         let length = self.length(self.start + 1) as usize;
         if length < 4 || length > self.most {
             return Err(invalid("a message of an impossible length"));
         }
-        self.fill(from, length + 1)?;
+        self.fill(&mut from, length + 1)?;
         let whole = self.start..self.start + length + 1;
         self.start = whole.end;
         Ok(Some(Frame { tag: self.bytes[whole.start], whole }))
--- a/routing/src/wire.rs
+++ b/routing/src/wire.rs
@@ -1,7 +1,9 @@
 //! What the core asks of a wire.
 use decision::{Outcome, Report};
 use settings::Limits;
+use socket2::SockRef;
 use std::io::{self, IoSlice, Write};
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -118,13 +120,9 @@
 /// Whether an idle connection stands: the other side has nothing to say on one, so bytes or an end mean that it
 /// is no good any more.
 pub fn idle_and_open(socket: &TcpStream) -> bool {
-    let quiet = || {
-        socket.set_nonblocking(true)?;
-        let peeked = socket.peek(&mut [0]);
-        socket.set_nonblocking(false)?;
-        io::Result::Ok(matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock))
-    };
-    quiet().unwrap_or(false)
+    let now = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+    let peeked = SockRef::from(socket).recv_with_flags(&mut [MaybeUninit::uninit()], now);
+    peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
 }
 
 /// A connection to an instance, with what is left of `limits.connect` as the bound of each read while it comes up.
--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -34,6 +34,18 @@
     pub probe: Duration,
     /// A connection to an instance is retired after this time without a request: before the instance's own.
     pub link_idle: Duration,
+    /// A client's startup has to be whole this long after it connected;
+    pub client_start: Duration,
+    /// where room is wanted, one that has said nothing for this long is let go.
+    pub client_start_least: Duration,
+    /// A client has to ask something this long after it connected.
+    pub client_first: Duration,
+    /// A command has to come whole within this time of its first byte.
+    pub client_message: Duration,
+    /// A connection without a request is let go after this time;
+    pub client_idle: Duration,
+    /// where room is wanted, after this one already.
+    pub client_idle_least: Duration,
     /// A client that takes none of its answer for this long is given up.
     pub client_write: Duration,
     /// How long a link listens on after the module has stopped waiting, should nobody close it.
@@ -44,6 +56,8 @@
     pub shutdown_grace: Duration,
     /// After SIGTERM, the program ends at the latest after this time.
     pub shutdown_most: Duration,
+    /// A connection to discovery that is not made within this time has failed.
+    pub watch_connect: Duration,
     /// A watch of discovery that brings nothing, not even an empty line, for this long is opened anew.
     pub watch_silent: Duration,
     /// Shortest and longest pause before discovery is tried again.
@@ -72,11 +86,18 @@
             connect,
             probe: connect,
             link_idle: keepalive.mul_f64(0.8),
+            client_start: Duration::from_millis(1500),
+            client_start_least: Duration::from_millis(200),
+            client_first: Duration::from_millis(2200),
+            client_message: Duration::from_secs(1),
+            client_idle: Duration::from_secs(10),
+            client_idle_least: Duration::from_secs(2),
             client_write: Duration::from_secs(5),
             link_backstop: Duration::from_millis(500),
             module_stack_bytes: 512 * 1024,
             shutdown_grace: Duration::from_millis(600),
             shutdown_most: longest_deadline.max(Duration::from_secs(3)) + Duration::from_millis(600),
+            watch_connect: Duration::from_millis(500),
             watch_silent: Duration::from_secs(5),
             watch_retry: (Duration::from_millis(50), Duration::from_secs(1)),
         }
--- a/settings/src/operator.rs
+++ b/settings/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's TOML: the MySQL front, its classes, rules and servers. A key that is not known is an error.
 use crate::fields::{array, field, number, text, whole};
 use crate::limits::Limits;
+use crate::start::changed;
 use decision::{Class, Effect, Freshness, Settings, Tokens, WhenBehind};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -99,6 +100,38 @@
     pub settings: Settings,
     /// Every bound of the program.
     pub limits: Limits,
+    /// What the file said, to tell what a later one changes.
+    pub said: Value,
+}
+
+/// What a file that is read while the program runs brings.
+#[derive(Clone, Debug)]
+pub struct Reload {
+    /// The MySQL front's settings; only users, rules and the default group may differ.
+    pub mysql: Mysql,
+    /// Keys that differ and are followed only by a restart.
+    pub restart: Vec<String>,
+}
+
+/// Reads the text of a later file against the start.
+pub fn reload(toml: &str, start: &Operator) -> Result<Reload, String> {
+    let new = read(toml)?;
+    let none = Value::Null;
+    let of = |v: &'_ Value, key: &str| v.get(key).unwrap_or(&none).clone();
+    let mut restart = changed(&start.said, &new.said, &["mysql"]);
+    let (old_mysql, new_mysql) = (of(&start.said, "mysql"), of(&new.said, "mysql"));
+    let mut live = vec!["user", "rule", "group"];
+    // Rules name classes by their places: with other classes they would mean something else to the module.
+    if old_mysql.get("class") != new_mysql.get("class") {
+        live.truncate(1);
+    }
+    restart.extend(changed(&old_mysql, &new_mysql, &live).iter().map(|k| format!("mysql.{k}")));
+    let mut mysql = start.mysql.clone();
+    mysql.users = new.mysql.users;
+    if live.contains(&"rule") {
+        (mysql.rules, mysql.group) = (new.mysql.rules, new.mysql.group);
+    }
+    Ok(Reload { mysql, restart })
 }
 
 fn only(v: &Value, keys: &[&str]) -> Result<(), String> {
@@ -243,6 +276,9 @@
     let mut limits = Limits::new(sockets, connect, idle, Duration::from_millis(longest));
     limits.message_bytes = or(v, "message_bytes", limits.message_bytes as u64, whole)? as usize;
     limits.answer_bytes = or(v, "answer_bytes", limits.answer_bytes as u64, whole)? as usize;
+    // MySQL's clients keep sessions with prepared statements: they may rest for as long as at a server.
+    limits.client_idle = Duration::from_secs(8 * 3600);
+    limits.client_first = limits.client_idle;
     limits.clock_skew =
         Duration::from_secs_f64(or(v, "clock_skew_ms", 50.0, positive)?.min(60_000.0) / 1000.0);
     let settings = Settings {
@@ -311,5 +347,5 @@
         Ok(Record { file: owned(r, "file")?, capacity: (positive(r, "capacity_mb")? * 1e6) as u64 })
     };
     let record = v.get("record").map(record).transpose().map_err(|e: String| format!("record: {e}"))?;
-    Ok(Operator { record, store, mysql, settings, limits })
+    Ok(Operator { record, store, mysql, settings, limits, said: v })
 }
--- a/settings/src/start.rs
+++ b/settings/src/start.rs
@@ -4,6 +4,7 @@
 use crate::platform;
 use decision::Settings;
 use serde_json::Value;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The names that positions of classes and zones stand for.
@@ -23,7 +24,7 @@
     /// Where clients connect.
     pub listen: String,
     /// Where discovery answers.
-    pub discovery: String,
+    pub discovery: SocketAddr,
     /// Seed of the random numbers.
     pub seed: u64,
     /// The list as the router held it last, in discovery's form.
@@ -34,6 +35,17 @@
     pub names: Names,
     /// Every bound of the program.
     pub limits: Limits,
+    /// What the file said, to tell what a later one changes.
+    pub said: Value,
+}
+
+/// What a configuration file that is read while the program runs brings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reload {
+    /// Where discovery answers from now on.
+    pub discovery: SocketAddr,
+    /// Keys that differ and are followed only by a restart.
+    pub restart: Vec<String>,
 }
 
 /// The value of a variable, or the config's field of the same meaning.
@@ -49,6 +61,28 @@
     }
 }
 
+fn address(key: &str, addr: &str) -> Result<SocketAddr, String> {
+    addr.parse().map_err(|_| format!("{key}: expected ip:port, found '{addr}'"))
+}
+
+/// Keys of two tables that differ, but for `but`.
+pub fn changed(old: &Value, new: &Value, but: &[&str]) -> Vec<String> {
+    let keys = |v: &Value| v.as_object().into_iter().flat_map(|o| o.keys().cloned()).collect::<Vec<_>>();
+    let mut all = [keys(old), keys(new)].concat();
+    all.sort();
+    all.dedup();
+    all.retain(|k| !but.contains(&k.as_str()) && old.get(k) != new.get(k));
+    all
+}
+
+/// Reads the text of a later file against the start. Its own `discovery` counts: the variable is as it was when
+/// the program began.
+pub fn reload(config: &str, start: &Start) -> Result<Reload, String> {
+    let new = read(config, &|_| None)?;
+    let restart = changed(&start.said, &new.said, &["discovery", "known", "seed"]);
+    Ok(Reload { discovery: new.discovery, restart })
+}
+
 fn seed(v: &Value) -> Result<u64, String> {
     match field(v, "seed")? {
         Value::String(s) => u64::from_str_radix(s, 16)
@@ -64,7 +98,7 @@
 
 /// Reads the config's text; `env` looks up a variable.
 pub fn read(config: &str, env: &dyn Fn(&str) -> Option<String>) -> Result<Start, String> {
-    let v: Value = serde_json::from_str(config).map_err(|e| format!("expected JSON: {e}"))?;
+    let mut v: Value = serde_json::from_str(config).map_err(|e| format!("expected JSON: {e}"))?;
     let inner = field(&v, "settings")?;
     let (settings, _) = platform::read(inner).map_err(|e| format!("settings: {e}"))?;
     let class = |c: &Value| text(c, "name").map(str::to_string);
@@ -87,11 +121,12 @@
     Ok(Start {
         name: told(env, "BALANCER_NAME", &v, "name")?,
         listen: told(env, "BALANCER_LISTEN", &v, "listen")?,
-        discovery: told(env, "BALANCER_DISCOVERY", &v, "discovery")?,
+        discovery: address("discovery", &told(env, "BALANCER_DISCOVERY", &v, "discovery")?)?,
         seed: seed(&v)?,
-        known: v.get("known").cloned().unwrap_or(Value::Null),
+        known: v.get_mut("known").map(Value::take).unwrap_or_default(),
         settings,
         names,
         limits,
+        said: v,
     })
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,10 +2,13 @@
 //!
 //! Without arguments it is one of the platform's routers; with the path of an operator's file it serves MySQL;
 //! `ctl` reads and changes the store of one that runs.
+use crossbeam_channel::{Receiver, bounded};
 use routing::{Entry, GroupId, ListNews, MemberState};
 use serde_json::{Value, json};
 use settings::fields::{number, text, whole};
 use settings::operator::Operator;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -22,8 +25,8 @@
         ["requests", path] => requests(path),
         ["replay", path, router, user, database, asked @ ..] => replay(path, router, user, database, asked),
         [path] => {
-            let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: cannot be read: {e}"))?;
-            mysql(settings::operator::read(&text).map_err(|e| format!("{path}: {e}"))?)
+            let text = read(path)?;
+            mysql(path, settings::operator::read(&text).map_err(|e| format!("{path}: {e}"))?)
         }
         _ => Err(USAGE.to_string()),
     }
@@ -129,10 +132,10 @@
 }
 
 /// Serves MySQL as an operator's file says.
-fn mysql(operator: Operator) -> Result<(), String> {
-    let Operator { record, store: operator_store, mysql, settings, limits } = operator;
+fn mysql(path: &str, operator: Operator) -> Result<(), String> {
+    let signals = signals().map_err(|e| format!("no signals: {e}"))?;
+    let Operator { record, store: operator_store, mysql, settings, limits, .. } = operator.clone();
     let (mysql, limits) = (Arc::new(mysql), Arc::new(limits));
-    let stop = signals().map_err(|e| format!("no signals: {e}"))?;
     let seed = u64::from(std::process::id()) ^ routing::Clock::new().now().0 as u64;
     let wire = mysql_wire::link::Mysql::new(mysql.clone(), limits.clone());
     let core = routing::Start { wire, settings, seed, limits: limits.clone() };
@@ -163,6 +166,13 @@
         }
     };
     let front = mysql_wire::front::Front::new(handle, mysql, limits.clone(), tap);
+    let (path, own) = (path.to_string(), front.clone());
+    let stop = obey(signals, limits.module_stack_bytes, move || {
+        let reload =
+            settings::operator::reload(&read(&path)?, &operator).map_err(|e| format!("{path}: {e}"))?;
+        own.reload(reload.mysql);
+        Ok(reload.restart)
+    })?;
     clients::Clients::new(front, limits).serve(listener, &stop).map_err(|e| format!("the front ended: {e}"))
 }
 
@@ -170,16 +180,13 @@
 fn platform() -> Result<(), String> {
     let env = |name: &str| std::env::var(name).ok();
     let path = env("BALANCER_CONFIG").ok_or("BALANCER_CONFIG: expected the path of the configuration")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: cannot be read: {e}"))?;
-    let start = settings::start::read(&text, &env).map_err(|e| format!("{path}: {e}"))?;
-    let limits = Arc::new(start.limits);
-    let addr = start.discovery.parse();
-    let addr = addr.map_err(|_| format!("discovery: expected ip:port, found '{}'", start.discovery))?;
-    let stop = signals().map_err(|e| format!("no signals: {e}"))?;
+    let signals = signals().map_err(|e| format!("no signals: {e}"))?;
+    let start = settings::start::read(&read(&path)?, &env).map_err(|e| format!("{path}: {e}"))?;
+    let limits = Arc::new(start.limits.clone());
 
     let core = routing::Start {
         wire: postgres::link::Postgres::new(limits.clone()),
-        settings: start.settings,
+        settings: start.settings.clone(),
         seed: start.seed,
         limits: limits.clone(),
     };
@@ -190,22 +197,54 @@
         known.complete = true;
         list.tell(known);
     }
-    discovery::watch(addr, start.names.zones, limits.clone(), list).map_err(|e| format!("no watch: {e}"))?;
+    let watch = discovery::Watch::new(start.names.zones.clone(), limits.clone(), list);
+    watch.follow(start.discovery).map_err(|e| format!("no watch: {e}"))?;
     let listener = listen(&start.name, &start.listen)?;
     let front = postgres::front::Front::new(handle, limits.clone(), &start.names.classes);
+    let mut at = start.discovery;
+    let stop = obey(signals, limits.module_stack_bytes, move || {
+        let reload = settings::start::reload(&read(&path)?, &start).map_err(|e| format!("{path}: {e}"))?;
+        if reload.discovery != at {
+            watch.follow(reload.discovery).map_err(|e| format!("no watch: {e}"))?;
+            at = reload.discovery;
+            eprintln!("discovery: the watch moves to {at}");
+        }
+        Ok(reload.restart)
+    })?;
     clients::Clients::new(front, limits).serve(listener, &stop).map_err(|e| format!("the front ended: {e}"))
 }
 
-/// A channel that gets a message when the program is asked to end.
-fn signals() -> std::io::Result<crossbeam_channel::Receiver<()>> {
-    let (to, stop) = crossbeam_channel::bounded(1);
-    let mut signals =
-        signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])?;
-    routing::spawn("signals", 64 * 1024, move || {
-        for _ in signals.forever() {
-            _ = to.try_send(());
+fn read(path: &str) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{path}: cannot be read: {e}"))
+}
+
+/// Signals that are noted from now on, so that none ends the program while it still starts.
+fn signals() -> std::io::Result<Signals> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP])
+}
+
+/// Obeys signals: SIGHUP reads the configuration anew, which gives the keys that only a restart follows; any other
+/// one is a message on the channel.
+fn obey(
+    mut signals: Signals,
+    stack: usize,
+    mut reload: impl FnMut() -> Result<Vec<String>, String> + Send + 'static,
+) -> Result<Receiver<()>, String> {
+    let (to, stop) = bounded(1);
+    let obey = move || {
+        for signal in signals.forever() {
+            if signal != SIGHUP {
+                _ = to.try_send(());
+                continue;
+            }
+            match reload() {
+                Ok(keys) if keys.is_empty() => eprintln!("reload: the configuration is followed"),
+                Ok(keys) => eprintln!("reload: these keys need a restart: {}", keys.join(", ")),
+                Err(e) => eprintln!("reload: the old configuration stays: {e}"),
+            }
         }
-    })?;
+    };
+    routing::spawn("signals", stack, obey).map_err(|e| format!("no signals: {e}"))?;
     Ok(stop)
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Reached only by a failure.
 pub const LONG: Duration = Duration::from_secs(20);
@@ -61,8 +61,9 @@
         if let Some(line) = self.seen.iter().find(|l| l.contains(text)) {
             return line.clone();
         }
+        let until = Instant::now() + LONG;
         loop {
-            let Ok(line) = self.log.recv_timeout(LONG) else {
+            let Ok(line) = self.log.recv_timeout(until.saturating_duration_since(Instant::now())) else {
                 panic!("no line with '{text}' in the log: {:#?}", self.seen);
             };
             self.seen.push(line.clone());
@@ -79,8 +80,18 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// Waits for a log line that comes from now on.
+    pub fn logs_next(&mut self, text: &str) -> String {
+        self.seen.clear();
+        self.logged(text)
     }
 
     /// Its exit code; its standard output is read to the end.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -243,7 +243,7 @@
     discovery: Discovery,
     primary: (Instance, Receiver<String>),
     replica: (Instance, Receiver<String>),
-    _folder: Folder,
+    folder: Folder,
 }
 
 impl Site {
@@ -258,7 +258,7 @@
         // The replica is trusted once it has been probed; until then reads go to the primary.
         Client::connect(addr).until(&select("warm", 1900), "replica");
         while primary.1.try_recv().is_ok() {}
-        Site { router, addr, discovery, primary, replica, _folder: folder }
+        Site { router, addr, discovery, primary, replica, folder }
     }
 }
 
@@ -428,6 +428,77 @@
     assert_eq!(router.ended().0, Some(0));
 }
 
+#[test]
+fn sighup_moves_the_watch_and_a_faulty_file_changes_nothing() {
+    let mut site = Site::start();
+    let client = Client::connect(site.addr);
+    let (_, old) = site.discovery.watch();
+    let next = Discovery::start();
+    let known = || vec![site.primary.0.entry("in_service"), site.replica.0.entry("in_service")];
+    let faulty =
+        config(next.addr, known()).to_string().replace("\"keepaliveMs\":30000.0", "\"keepaliveMs\":\"x\"");
+    site.folder.write("config.json", &faulty);
+    site.router.signal("-HUP");
+    site.router.logged("the old configuration stays");
+    site.router.logged("'keepaliveMs'");
+    // A request under way when the file changes is answered as if nothing had happened.
+    site.primary.0.act(Act::Silent);
+    client.write(&insert("w1", 1500));
+    site.primary.1.recv_timeout(LONG).unwrap();
+    let mut good = config(next.addr, known());
+    good["limits"]["sockets"] = json!(300);
+    site.folder.write("config.json", &good.to_string());
+    site.router.signal("-HUP");
+    site.router.logged("these keys need a restart: limits");
+    let (index, new) = next.watch();
+    assert_eq!(index, "41");
+    // Until the new watch has brought something, the old one still counts.
+    let drains = |version: u32, entry: Value| {
+        json!({"version": version, "full": false, "servers": [entry]}).to_string()
+    };
+    old.send(drains(42, site.replica.0.entry("terminating"))).unwrap();
+    site.router.logged("version 42 names 2 instances, 1 in service");
+    new.send(drains(43, site.replica.0.entry("in_service"))).unwrap();
+    site.router.logged("version 43 names 2 instances, 2 in service");
+    assert!(matches!(client.answer(), Answer::Error(code, None) if code == "57014"));
+    site.primary.0.act(Act::Serve);
+    client.until(&select("r1", 1900), "replica");
+    // SIGHUP again without a change, and SIGTERM right behind: it ends as it would without.
+    site.router.signal("-HUP");
+    site.router.terminate();
+    drop(client);
+    assert_eq!(site.router.ended().0, Some(0));
+}
+
+#[test]
+fn a_client_that_stops_midway_is_let_go_and_others_keep_their_place() {
+    let site = Site::start();
+    let idle = Client::connect(site.addr);
+    let silent = TcpStream::connect(site.addr).unwrap();
+    let half_startup = TcpStream::connect(site.addr).unwrap();
+    (&half_startup).write_all(b"\0\0\0\x26\0\x03").unwrap();
+    let half = Client::connect(site.addr);
+    (&half.0).write_all(b"Q\0\x02\0\0SELECT").unwrap();
+    for socket in [&silent, &half_startup, &idle.0] {
+        socket.set_read_timeout(Some(LONG)).unwrap();
+        assert!(take(socket, 1).is_err(), "closed without a word");
+    }
+    assert_eq!(read(&half.0).unwrap().0, b'E');
+    assert!(read(&half.0).is_err());
+    Client::connect(site.addr).until(&select("r1", 1900), "replica");
+}
+
+#[test]
+fn a_flood_of_silent_connections_gives_way_to_clients_that_ask() {
+    let site = Site::start();
+    // More than the limits let stand; each one that asks is served all the same.
+    let silent: Vec<TcpStream> = (0..300).filter_map(|_| TcpStream::connect(site.addr).ok()).collect();
+    for n in 0..10 {
+        assert_eq!(Client::connect(site.addr).ask(&select(&format!("r{n}"), 1900)), served("replica"));
+    }
+    drop(silent);
+}
+
 #[test]
 fn hostile_bytes_end_their_own_connection_only() {
     let site = Site::start();
