Let reads that find their replicas full take the primary's spare places

Checked: choose_read() (decision/src/decide.rs) held a read as soon as one replica was fresh, whatever the primary had free. With three members a group and one draining or cold, one replica then carries all reads.

Changed: with all replicas' places taken, a read may take a place at the primary while under half of that one's places are in use, counted whole; the rest stays for writes. The test of a ban now asks three times before one read is held.

--- a/decision/src/decide.rs
+++ b/decision/src/decide.rs
@@ -35,6 +35,8 @@
 const COLD_SHARE: f64 = 0.3;
 /// A member of the own zone counts this much more in ties: crossing has a price, jamming a zone a higher one.
 const NEAR: f64 = 2.0;
+/// Reads that find the replicas full may take this share of the primary's places.
+const SPARE: f64 = 0.5;
 /// Sessions remembered one by one; older ones fold into one floor.
 const SESSIONS: usize = 4096;
 /// Connect time-outs after which a probe may contradict an answer's note: reports are old news.
@@ -547,6 +549,14 @@
             && ((load as f64) < (m.pool * warmth).floor() || (load == 0 && draw < m.pool))
     }
 
+    /// A primary has places that its writes do not need.
+    fn spare(&self, id: MemberId, draw: f64) -> bool {
+        let m = &self.members[&id];
+        self.room(id, draw, 1.0)
+            && self.usable(id)
+            && (self.load(m) as f64) < (m.pool * self.warmth(m) * SPARE).floor()
+    }
+
     fn usable(&self, id: MemberId) -> bool {
         let m = &self.members[&id];
         m.state == MemberState::Ready && m.banned_until.is_none() && !(m.trial && m.in_flight > 0)
@@ -623,6 +633,13 @@
         if let Some(m) = self.fewest(&fresh, draw, crowd) {
             return Choice::Send(m);
         }
+        // Replicas enough, but all of their places taken: the primary's spare ones are better than waiting.
+        if !fresh.is_empty()
+            && let Some(p) = primary
+            && self.spare(p, draw)
+        {
+            return Choice::Send(p);
+        }
         // Waits for a place, or for the proof that is under way.
         let asked = proof && patient && behind.iter().any(|m| self.members[m].probes_out > 0);
         if !fresh.is_empty() || asked {
--- a/decision/tests/failures.rs
+++ b/decision/tests/failures.rs
@@ -37,6 +37,19 @@
     assert_ne!(first, second);
 }
 
+#[test]
+fn reads_that_find_the_replicas_full_take_the_primary_s_spare_places_only() {
+    let mut b = Bench::ready(settings(KEYED));
+    // Two places at each member: four reads fill the replicas.
+    for _ in 0..4 {
+        assert_ne!(sends(&b.ask(4, None).1)[0].1, MemberId(0));
+    }
+    assert_eq!(sends(&b.ask(4, None).1)[0].1, MemberId(0));
+    // Its last place is left for writes.
+    assert!(sends(&b.ask(4, None).1).is_empty());
+    assert_eq!(sends(&b.ask(0, None).1)[0].1, MemberId(0));
+}
+
 #[test]
 fn a_stale_replica_gets_no_read_where_members_do_not_check() {
     let mut b = Bench::behind(settings(KEYED), [301, 299]);
@@ -145,7 +158,7 @@
     let bad = sends(&out)[0].1;
     let again = sends(&b.outcome(r, 0, bad, Outcome::Reset));
     assert!(again.len() == 1 && again[0].1 != bad);
-    assert!((0..2).all(|_| sends(&b.ask(4, None).1).iter().all(|s| s.1 != bad)));
+    assert!((0..3).all(|_| sends(&b.ask(4, None).1).iter().all(|s| s.1 != bad)));
     b.now += 2000 * MS;
     assert!(b.event(Event::Timer).contains(&Action::Probe { member: bad }));
 }
