Tell a broken connection from a dead member: a reset is followed by a probe

Checked: a dump of the module's members every 2 s showed all of them at warmth 0.15 to 0.3 and most banned, strikes up to 4, from the 4th second on; resets came at 14 a second, nearly all on links that had rested 5 to 400 ms and were found broken by the request (40 µs after it), so nothing at the socket told before. Each reset, of a request or of a probe, banned the member (1 to 8 s) and set was_down, and its next answer made it "just started", cold for 18 s (decision/src/decide.rs, rate_member and on_probed).

Changed: a reset is followed by a probe at once, whose answer lifts the ban, up to three in a row; only two failed connections in a row, not resets, make a member that answers again a cold one. A probe that breaks on a pooled link is made anew on a fresh one (routing/src/peer.rs).

--- a/decision/src/decide.rs
+++ b/decision/src/decide.rs
@@ -37,6 +37,11 @@
 const NEAR: f64 = 2.0;
 /// Reads that find the replicas full may take this share of the primary's places.
 const SPARE: f64 = 0.5;
+/// Failed connections in a row after which a member that answers again may have just started, cold. A
+/// single one is the network's as often as the member's.
+const UNREACHED: u32 = 2;
+/// Resets in a row, no request served between them, after which a member is banned though its probes answer.
+const RESETS: u32 = 3;
 /// Sessions remembered one by one; older ones fold into one floor.
 const SESSIONS: usize = 4096;
 /// Connect time-outs after which a probe may contradict an answer's note: reports are old news.
@@ -89,8 +94,10 @@
     strikes: u32,
     /// Back from a ban: one attempt at a time until one is served.
     trial: bool,
-    /// Its connections failed: when it answers again it may have just started.
-    was_down: bool,
+    /// Connections that failed since it last answered.
+    unreached: u32,
+    /// A connection to it was reset, and what it says to the next probe decides on the ban.
+    asked_after_reset: bool,
     /// Failed attempts that still count as in flight, until these times.
     ghosts: Vec<Time>,
 }
@@ -374,16 +381,20 @@
         m.probes_failed = if report.primary.is_some() { 0 } else { m.probes_failed + 1 };
         let g = m.group;
         // Answers outrank probes: one that failed says nothing of requests unless nothing could be reached.
-        let dead = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
+        let dead = outcome == Outcome::ConnectFailed;
         // Bans never empty a group: with nobody else left, a member that may be well gets its trial now.
         let none_left = self.groups.get(&g).is_some_and(|x| !x.members.iter().any(|o| self.usable(*o)));
         let Some(m) = self.members.get_mut(&id) else { return };
-        if outcome == Outcome::Ok && std::mem::take(&mut m.was_down) {
+        if outcome == Outcome::Ok && std::mem::take(&mut m.unreached) >= UNREACHED {
             // Its process was away: it may have started again, cold, before any list says so.
             m.started = m.started.max(Some(now));
         }
-        m.was_down |= dead;
-        if !dead && m.banned_until.is_some_and(|t| t <= now || none_left) {
+        m.unreached += u32::from(dead);
+        let excused = std::mem::take(&mut m.asked_after_reset) && outcome == Outcome::Ok;
+        if excused && m.strikes <= RESETS {
+            // It was the connection's end, not the member's.
+            m.banned_until = None;
+        } else if !dead && m.banned_until.is_some_and(|t| t <= now || none_left) {
             m.try_again();
         }
         if dead {
@@ -817,7 +828,14 @@
             self.remember(g, session, commit);
         }
         match outcome {
-            Outcome::ConnectFailed | Outcome::Reset => self.doubt(member),
+            Outcome::ConnectFailed => self.doubt(member),
+            // One connection broke: a process that is gone refuses the next one, so a probe tells which it was.
+            Outcome::Reset => {
+                if let Some(m) = self.members.get_mut(&member) {
+                    m.asked_after_reset = true;
+                }
+                _ = self.probe(member, actions);
+            }
             Outcome::TimedOut if self.groups.get(&g).is_some_and(|x| x.primary == Some(member)) => {
                 _ = self.probe(member, actions)
             }
@@ -876,6 +894,7 @@
                 let took = took.max(1.0);
                 let gain = if took < usual { GAIN } else { GAIN / 8.0 };
                 self.usual[class] += gain * (took - usual);
+                m.unreached = if m.unreached < UNREACHED { 0 } else { m.unreached };
                 if share < POOL_GROW {
                     m.strikes = 0;
                     m.late_at = LONG_AGO;
@@ -894,10 +913,11 @@
                     self.strike(id);
                 }
             }
-            Outcome::ConnectFailed | Outcome::Reset => {
-                m.was_down = true;
+            Outcome::ConnectFailed => {
+                m.unreached += 1;
                 self.strike(id);
             }
+            Outcome::Reset => self.strike(id),
             Outcome::Miss => {
                 if let Some(n) = need {
                     m.lag = m.lag.max((now.0 - n.0) * 3 / 2);
--- a/routing/src/peer.rs
+++ b/routing/src/peer.rs
@@ -255,6 +255,10 @@
             Task::Probe => Work::Probe,
         };
         match l.carry(work, &job.stop) {
+            // A pooled connection that breaks under a probe tells of itself, not of the instance: a new one does.
+            Ok(Reply { outcome: Outcome::Reset, .. }) if pooled && matches!(job.task, Task::Probe) => {
+                *link = None
+            }
             Ok(reply) => return reply,
             // Nothing was written on it: it stays warm.
             Err(Unsent::Stopped) => return Reply { reusable: true, ..Reply::bare(Outcome::Moot) },
--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -36,7 +36,8 @@
     pub connect: Duration,
     /// A probe without an answer after this time has timed out.
     pub probe: Duration,
-    /// A connection to an instance is retired after this time without a request: before the instance's own.
+    /// A connection to an instance is retired after this time without a request: well before the instance's own,
+    /// since whatever lies between may forget it sooner, and the next request on it would be lost.
     pub link_idle: Duration,
     /// A client's startup has to be whole this long after it connected;
     pub client_start: Duration,
@@ -105,7 +106,7 @@
             mailbox: 4096,
             connect,
             probe: connect,
-            link_idle: keepalive.mul_f64(0.8),
+            link_idle: keepalive.mul_f64(0.5).min(Duration::from_millis(1500)),
             client_start: Duration::from_millis(1500),
             client_start_least: Duration::from_millis(100),
             client_first: Duration::from_millis(2200),
