--- a/decision/src/decide.rs
+++ b/decision/src/decide.rs
@@ -829,7 +829,7 @@
         }
         match outcome {
             Outcome::ConnectFailed => self.doubt(member),
-            // One connection broke: a process that is gone refuses the next one, so a probe tells which it was.
+            // One connection broke; a probe tells whether the process is gone, too.
             Outcome::Reset => {
                 if let Some(m) = self.members.get_mut(&member) {
                     m.asked_after_reset = true;
