Take a member that was cut off for what it was once it answers again

Changed: only refused connections, told by their taking less than half of the connect time-out, hint at a restart; the list still tells of every other one. A ban for want of a connection ends with the first answered probe and doubles once, not three times: asking such a member costs little.

--- a/decision/src/decide.rs
+++ b/decision/src/decide.rs
@@ -9,6 +9,8 @@
 const BAN: Micros = 1_000_000;
 /// Each further ban in a row doubles, up to the ten seconds of the design page.
 const BAN_DOUBLINGS: u32 = 3;
+/// The same for a member that can't be reached: asking it costs little, and it may be back at any time.
+const REACH_DOUBLINGS: u32 = 1;
 /// Errors after which a request is held to be bad itself: at another member where there is one.
 const ERRORS_OF_REQUEST: usize = 2;
 /// A late answer is waited for where it earns at least this share of the worth.
@@ -37,8 +39,9 @@
 const NEAR: f64 = 2.0;
 /// Reads that find the replicas full may take this share of the primary's places.
 const SPARE: f64 = 0.5;
-/// Failed connections in a row after which a member that answers again may have just started, cold. A
-/// single one is the network's as often as the member's.
+/// Refused connections in a row after which a member that answers again may have just started, cold. A
+/// single one is the network's as often as the member's; one that merely never came up is of a member that
+/// was cut off, whose process went on.
 const UNREACHED: u32 = 2;
 /// Resets in a row, no request served between them, after which a member is banned though its probes answer.
 const RESETS: u32 = 3;
@@ -94,8 +97,10 @@
     strikes: u32,
     /// Back from a ban: one attempt at a time until one is served.
     trial: bool,
-    /// Connections that failed since it last answered.
+    /// Connections that were refused since it last answered.
     unreached: u32,
+    /// It was banned because it could not be reached: an answer to a probe ends that.
+    for_reach: bool,
     /// A connection to it was reset, and what it says to the next probe decides on the ban.
     asked_after_reset: bool,
     /// Failed attempts that still count as in flight, until these times.
@@ -389,16 +394,17 @@
             // Its process was away: it may have started again, cold, before any list says so.
             m.started = m.started.max(Some(now));
         }
-        m.unreached += u32::from(dead);
+        m.unreached += u32::from(dead && 2 * (now.0 - m.probed.0) < self.settings.connect_timeout);
         let excused = std::mem::take(&mut m.asked_after_reset) && outcome == Outcome::Ok;
+        let reached = m.for_reach && outcome == Outcome::Ok;
         if excused && m.strikes <= RESETS {
             // It was the connection's end, not the member's.
             m.banned_until = None;
-        } else if !dead && m.banned_until.is_some_and(|t| t <= now || none_left) {
+        } else if !dead && m.banned_until.is_some_and(|t| t <= now || none_left || reached) {
             m.try_again();
         }
         if dead {
-            self.strike(id);
+            self.strike(id, true);
             self.doubt(id);
         } else {
             self.learn(id, report, None, false);
@@ -408,14 +414,16 @@
     }
 
     /// A failure signal: bans the member, longer each time in a row.
-    fn strike(&mut self, id: MemberId) {
+    fn strike(&mut self, id: MemberId, unreached: bool) {
         let now = self.now;
         let jitter = 0.75 + 0.5 * self.rng.f64();
         let Some(m) = self.members.get_mut(&id) else { return };
         if m.banned_until.is_some_and(|t| t > now) {
             return;
         }
-        let ban = (BAN << m.strikes.min(BAN_DOUBLINGS)) as f64 * jitter;
+        let doublings = if unreached { REACH_DOUBLINGS } else { BAN_DOUBLINGS };
+        let ban = (BAN << m.strikes.min(doublings)) as f64 * jitter;
+        m.for_reach = unreached;
         m.banned_until = Some(Time(now.0 + ban as i64));
         m.strikes += 1;
     }
@@ -848,7 +856,7 @@
             let erred =
                 |a: &Attempt| (a.outcome == Some(Outcome::Error) && a.member != member).then_some(a.member);
             let blamed: Vec<MemberId> = self.requests[&id].attempts.iter().filter_map(erred).collect();
-            blamed.into_iter().for_each(|m| self.strike(m));
+            blamed.into_iter().for_each(|m| self.strike(m, false));
         }
         if !ended && self.requests.get(&id).is_some_and(Open::settled) {
             let free = matches!(outcome, Outcome::Miss | Outcome::Moot);
@@ -910,14 +918,14 @@
                 let of = |x: &&MemberId| self.members[*x].banned_until.is_some();
                 let group = self.groups.get(&group).map_or(&[][..], |x| &x.members);
                 if 3 * (group.iter().filter(of).count() + 1) <= group.len() + 1 {
-                    self.strike(id);
+                    self.strike(id, false);
                 }
             }
             Outcome::ConnectFailed => {
-                m.unreached += 1;
-                self.strike(id);
+                m.unreached += u32::from(2.0 * took < self.settings.connect_timeout as f64);
+                self.strike(id, true);
             }
-            Outcome::Reset => self.strike(id),
+            Outcome::Reset => self.strike(id, true),
             Outcome::Miss => {
                 if let Some(n) = need {
                     m.lag = m.lag.max((now.0 - n.0) * 3 / 2);
