Guard MySQL links as the platform's: sequence numbers checked, a rest before reuse

Seen: the guard against bytes behind an answer (a rest of 5 ms, then a look at the socket) stood in the platform's link alone, and MySQL's reader took an answer's packets whatever their numbers.

Checked: with the sequence check left out the new test case passes a foreign packet on as the order's answer; a second copy is seen by the reader's own buffer or by the look before reuse.

Changed: the rest moved to routing/src/peer.rs and serves both wires; mysql/src/link.rs answer() fails an attempt whose packets are out of sequence, and its link is closed.

--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -314,9 +314,14 @@
 
     /// Reads an answer to its end.
     fn answer(&mut self) -> Result<Payloads, Cut> {
-        let (mut state, mut answer, mut length) = (State::Start, Vec::new(), 0);
+        let (mut state, mut answer, mut length, mut expected) = (State::Start, Vec::new(), 0, 1);
         loop {
             let packet = self.reader.next(&*self.socket)?;
+            // Out of sequence it belongs to something else, or to nothing.
+            if packet.first != expected {
+                return Err(Cut::Broken(Outcome::Error));
+            }
+            expected = packet.last.wrapping_add(1);
             state.take(&packet.payload);
             length += packet.payload.len() + 4;
             if length > self.limits.answer_bytes {
--- a/postgres/src/link.rs
+++ b/postgres/src/link.rs
@@ -29,8 +29,6 @@
     buffer: Buffer,
     limits: Arc<Limits>,
     clock: Clock,
-    /// When its last answer was whole.
-    answered: Instant,
 }
 
 /// What an answer may hold beside its value: its heads, notes and notices.
@@ -63,8 +61,8 @@
             }
         }
         let buffer = Buffer::new(self.limits.value_bytes + BESIDE);
-        let (limits, clock, answered) = (self.limits.clone(), self.clock, Instant::now());
-        Ok(PostgresLink { socket: Arc::new(socket), buffer, limits, clock, answered })
+        let (limits, clock) = (self.limits.clone(), self.clock);
+        Ok(PostgresLink { socket: Arc::new(socket), buffer, limits, clock })
     }
 }
 
@@ -120,7 +118,6 @@
     }
 
     fn alive(&mut self) -> bool {
-        std::thread::sleep(self.limits.link_settle.saturating_sub(self.answered.elapsed()));
         self.buffer.is_empty() && idle_and_open(&self.socket)
     }
 
@@ -238,7 +235,6 @@
                 answer.extend_from_slice(self.buffer.get(frame.whole));
             }
         }
-        self.answered = Instant::now();
         // What came whole before a break counts: a row is an answer, an error's code is an error.
         let outcome = match &come {
             Come::Whole => Outcome::Ok,
--- a/routing/src/peer.rs
+++ b/routing/src/peer.rs
@@ -224,9 +224,15 @@
 
 /// Carries jobs one after the other on one connection, until that breaks or the peer lets go of it.
 fn run_link<W: Wire>(shared: &Shared<W>, peer: &Sender<PeerMessage<W>>, id: u64, jobs: &Receiver<Job<W>>) {
-    let mut link: Option<W::Link> = None;
+    let (mut link, mut answered): (Option<W::Link>, _) = (None, Instant::now());
     while let Ok(job) = jobs.recv() {
+        // What comes right behind an answer has to be there before the link is looked at.
+        let rest = shared.limits.link_settle.saturating_sub(answered.elapsed());
+        if link.is_some() && !rest.is_zero() {
+            std::thread::sleep(rest);
+        }
         let reply = carry(shared, &mut link, &job);
+        answered = Instant::now();
         let reusable = reply.reusable && link.is_some();
         // The peer hears first: the module's next attempt finds this link idle.
         let kept = peer.send(PeerMessage::Ended { link: id, reusable }).is_ok();
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -20,6 +20,10 @@
     Reset,
     /// The answer stops in the middle.
     Cut,
+    /// The answer's packets bear the wrong numbers, as those of another command would.
+    OutOfSequence,
+    /// A second copy stands behind the answer.
+    Twice,
     Silent,
     /// It dies when a statement has been prepared on it, before the execution comes.
     DieAfterPrepare,
@@ -222,6 +226,8 @@
             }
             Act::Reset => None,
             Act::Cut => Some(whole[..10].to_vec()),
+            Act::OutOfSequence => Some([&whole[..3], &[7], &whole[4..]].concat()),
+            Act::Twice => Some([&whole[..], &whole].concat()),
             Act::Silent => {
                 // Until the process ends: the router closes its side.
                 loop {
@@ -376,9 +382,27 @@
     }
 }
 
+#[test]
+fn a_second_copy_behind_an_answer_is_never_taken_for_the_next_one() {
+    let site = Site::start();
+    let mut client = site.client();
+    site.primary.0.act(Act::Twice);
+    for n in 0..10 {
+        // On a link that was used again, the copy would stand for an answer that never came.
+        let sql = format!("INSERT INTO orders VALUES ({n})");
+        client.query_drop(&sql).unwrap();
+        assert_eq!(site.orders(&sql), 1);
+    }
+}
+
 #[test]
 fn an_order_that_may_have_run_is_failed_and_never_sent_again() {
-    let cases = [(Act::Cut, 1158, "08S01"), (Act::Reset, 1158, "08S01"), (Act::Error(1105), 1105, "HY000")];
+    let cases = [
+        (Act::Cut, 1158, "08S01"),
+        (Act::Reset, 1158, "08S01"),
+        (Act::Error(1105), 1105, "HY000"),
+        (Act::OutOfSequence, 1105, "HY000"),
+    ];
     for (act, expected, state) in cases {
         for prepared in [false, true] {
             let site = Site::start();
