--- a/clients/src/lib.rs
+++ b/clients/src/lib.rs
@@ -220,7 +220,7 @@
         })?;
         // Blocks until the signal comes, or for good if it never does.
         _ = stop.recv();
-        eprintln!("shutdown: taking requests for {:?} more", self.limits.shutdown_grace);
+        tracing::info!("shutdown: taking requests for {:?} more", self.limits.shutdown_grace);
         let asked = Instant::now();
         std::thread::sleep(self.limits.shutdown_grace);
         accepting.store(false, Ordering::Release);
@@ -242,7 +242,7 @@
             open.iter().filter(|c| c.silent()).for_each(|c| _ = c.retire());
             std::thread::sleep(Duration::from_millis(5));
         }
-        eprintln!("shutdown: ended with {} connections left", self.open().len());
+        tracing::info!("shutdown: ended with {} connections left", self.open().len());
         Ok(())
     }
 
@@ -256,7 +256,7 @@
                 // Out of descriptors, or a client that left at once.
                 Err(e) => {
                     if e.kind() != io::ErrorKind::WouldBlock {
-                        eprintln!("clients: cannot accept: {e}");
+                        tracing::warn!("clients: cannot accept: {e}");
                     }
                     std::thread::sleep(Duration::from_millis(10));
                 }
@@ -296,7 +296,7 @@
         let ready = socket.set_nonblocking(false).and_then(|()| socket.set_nodelay(true));
         let ready = ready.and_then(|()| socket.set_write_timeout(Some(self.limits.client_write)));
         if let Err(e) = ready {
-            return eprintln!("clients: {from}: {e}");
+            return tracing::warn!("clients: {from}: {e}");
         }
         let number = self.next.fetch_add(1, Ordering::Relaxed) as u64;
         let closing = self.closing.clone();
@@ -320,7 +320,7 @@
             clients.open().remove(&number);
         };
         if let Err(e) = spawn("client", self.limits.stack_bytes, talk) {
-            eprintln!("clients: no thread for {from}: {e}");
+            tracing::error!("clients: no thread for {from}: {e}");
             self.open().remove(&number);
         }
     }
--- a/discovery/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -93,8 +93,8 @@
             }
             match ended {
                 Ok(false) => return,
-                Ok(true) => eprintln!("discovery: the watch ended"),
-                Err(e) => eprintln!("discovery: the watch broke: {e}"),
+                Ok(true) => tracing::warn!("discovery: the watch ended"),
+                Err(e) => tracing::warn!("discovery: the watch broke: {e}"),
             }
             std::thread::sleep(pause);
             pause = (pause * 2).min(self.limits.watch_retry.1);
--- a/mysql/src/errors.rs
+++ b/mysql/src/errors.rs
@@ -99,7 +99,7 @@
 /// The ERR payload for a final answer that no server gave; `Err` with what a server did answer.
 pub fn worded<A>(answer: Final<A>) -> Result<Vec<u8>, A> {
     Ok(match answer {
-        Final::Served(a) => return Err(a),
+        Final::Served(a, _) => return Err(a),
         Final::Refused(Some(after)) => {
             let text = format!("refused: trying again is harmless; come back after {} ms", after.as_millis());
             payload(REFUSED, &text)
--- a/mysql/src/front.rs
+++ b/mysql/src/front.rs
@@ -10,11 +10,12 @@
 use crate::{Tap, command};
 use clients::{Connection, Talk};
 use crossbeam_channel::{Receiver, bounded};
-use routing::{Final, GroupId, Handle, Incoming, RequestId, SessionId, Time, spawn};
+use routing::{Final, GroupId, Handle, Incoming, RequestId, Time, spawn};
+use sessions::Key;
+use sessions::node::{Sessions, Who};
 use settings::Limits;
 use settings::operator::Mysql as Settings;
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, RwLock};
 
@@ -24,6 +25,7 @@
     settings: RwLock<Arc<Settings>>,
     limits: Arc<Limits>,
     tap: Option<Arc<dyn Tap>>,
+    sessions: Arc<Sessions>,
 }
 
 impl Front {
@@ -33,8 +35,9 @@
         settings: Arc<Settings>,
         limits: Arc<Limits>,
         tap: Option<Arc<dyn Tap>>,
+        sessions: Arc<Sessions>,
     ) -> Arc<Front> {
-        Arc::new(Front { handle, settings: RwLock::new(settings), limits, tap })
+        Arc::new(Front { handle, settings: RwLock::new(settings), limits, tap, sessions })
     }
 
     /// Takes other users, rules and another default group from now on.
@@ -179,7 +182,7 @@
         let known = settings.users.iter().find(|(name, _)| *name == login.user);
         let right = known.and_then(|(_, password)| auth::proof(&login.plugin, password, &nonce));
         if !right.is_some_and(|right| auth::same(&right, &login.proof)) {
-            eprintln!("mysql: {}: access denied for user '{}'", self.from, login.user);
+            tracing::warn!("mysql: {}: access denied for user '{}'", self.from, login.user);
             let text = format!("access denied for user '{}'", login.user);
             return self.refuse(last, errors::ACCESS_DENIED, &text);
         }
@@ -344,19 +347,28 @@
     /// Hands a request to the module and waits for its one final answer.
     fn ask(&self, need: &Need, class: usize, payload: Payload) -> Answered {
         let now = self.front.handle.clock.now();
-        let mut session = DefaultHasher::new();
-        match &need.session {
-            Some(named) => named.hash(&mut session),
+        let (settings, sessions) = (self.front.settings(), &self.front.sessions);
+        let group = GroupId(need.group);
+        let who = match &need.session {
+            Some(named) => Who::Named(Key::named(group, named)),
             // A connection is a session of its own: it sees its own writes.
-            None => (&self.user, self.connection.number).hash(&mut session),
-        }
+            None => Who::Own(Key::own(group, self.connection.number)),
+        };
+        let refused = |why: String| (errors::REFUSED, format!("refused: nothing ran: {why}"));
+        let token = if settings.sessions[class] {
+            sessions.need(who).map_err(refused)?
+        } else {
+            sessions.admits(who).map_err(refused)?;
+            None
+        };
+        let deadline = Time(now.0 + need.wait_ms as i64 * 1000);
         let (answer, given) = bounded(1);
         let id = self.front.handle.submit(Incoming {
             class,
-            session: Some(SessionId(session.finish())),
-            group: GroupId(need.group),
-            deadline: Time(now.0 + need.wait_ms as i64 * 1000),
-            token: None,
+            session: None,
+            group,
+            deadline,
+            token,
             payload,
             answer,
         });
@@ -368,6 +380,13 @@
             }
         }
         let answer = given.recv().unwrap_or(Final::Failed(None));
+        // A write is told to the client once no read of its session can miss it any more.
+        if let Final::Served(_, Some(at)) = &answer
+            && !settings.reading[class]
+            && !sessions.committed(who, *at, deadline)
+        {
+            return Err((errors::TIMED_OUT, "it has run, but its session can't rely on it".into()));
+        }
         Ok(errors::worded(answer).map_or_else(|served| served, |error| vec![error]))
     }
 
--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -7,6 +7,7 @@
 use crate::results::{State, text_row};
 use routing::wire::{Link, Reply, Stop, Unsent, Wire, Work, connect, idle_and_open};
 use routing::{Clock, Outcome, Report, Time};
+use sessions::clocks::{Clocks, Offset};
 use settings::Limits;
 use settings::operator::Mysql as Settings;
 use std::collections::{BTreeMap, VecDeque};
@@ -52,17 +53,20 @@
     settings: Arc<Settings>,
     limits: Arc<Limits>,
     clock: Clock,
+    /// How far the servers' clocks are from this router's, as their probes tell.
+    pub clocks: Arc<Clocks>,
 }
 
 impl Mysql {
     /// A wire that logs in as the settings say.
-    pub fn new(settings: Arc<Settings>, limits: Arc<Limits>) -> Self {
+    pub fn new(settings: Arc<Settings>, limits: Arc<Limits>, clock: Clock) -> Self {
         let credentials = Credentials {
             user: settings.server_user.clone(),
             password: settings.server_password.clone(),
             database: settings.database.clone(),
         };
-        Mysql { credentials, settings, limits, clock: Clock::new() }
+        let clocks = Arc::new(Clocks::new(settings.server_clock, limits.clock_skew.as_micros() as i64));
+        Mysql { credentials, settings, limits, clock, clocks }
     }
 }
 
@@ -73,6 +77,8 @@
     settings: Arc<Settings>,
     limits: Arc<Limits>,
     clock: Clock,
+    clocks: Arc<Clocks>,
+    addr: SocketAddr,
     /// Statements prepared here: text, id and count of parameters, the oldest first.
     prepared: VecDeque<(Arc<[u8]>, u32, usize)>,
 }
@@ -109,13 +115,14 @@
         login(&socket, &mut reader, &self.credentials).map_err(|e| match errors::meaning(e.0) {
             Meaning::Outcome(Outcome::Full) => Outcome::Full,
             _ => {
-                eprintln!("server {addr}: no login: {}", e.1);
+                tracing::warn!("server {addr}: no login: {}", e.1);
                 Outcome::ConnectFailed
             }
         })?;
         let (settings, limits) = (self.settings.clone(), self.limits.clone());
         let (socket, prepared) = (Arc::new(socket), VecDeque::new());
-        Ok(MysqlLink { socket, reader, settings, limits, clock: self.clock, prepared })
+        let clocks = self.clocks.clone();
+        Ok(MysqlLink { socket, reader, settings, limits, clock: self.clock, clocks, addr, prepared })
     }
 }
 
@@ -195,9 +202,9 @@
         self.socket.set_read_timeout(Some(wait)).map_err(|_| Unsent::Broken)?;
         match work {
             Work::Probe => {
-                let probe = self.settings.probe.clone();
+                let (probe, sent) = (self.settings.probe.clone(), self.clock.now());
                 self.begin(stop, &[&[command::QUERY], probe.as_bytes()])?;
-                Ok(self.probed())
+                Ok(self.probed(sent))
             }
             Work::Attempt(Payload::Query(text), _) => {
                 self.begin(stop, &[&[command::QUERY], text])?;
@@ -348,17 +355,17 @@
             Ok(answer) => match answer.last().and_then(|p| errors::code(p)).map(errors::meaning) {
                 Some(Meaning::Outcome(outcome)) => Reply { reusable: true, ..Reply::bare(outcome) },
                 _ => {
-                    // The commit is before the answer: seen with the widest difference of the clocks.
-                    let at = Time(self.clock.now().0 + self.limits.clock_skew.as_micros() as i64);
-                    let note = Report { primary: None, position: Some(at) };
-                    Reply { note, ..served(answer, true) }
+                    // The commit is before the answer, by the server's own clock at the latest. Of a server that
+                    // answered a read this says nothing: a replica stands where its heartbeat does.
+                    let commit = Some(self.clocks.commit(self.addr, self.clock.now()));
+                    Reply { commit, ..served(answer, true) }
                 }
             },
         }
     }
 
-    /// The answer to the probe: read-only or not, and the heartbeat.
-    fn probed(&mut self) -> Reply<Payloads> {
+    /// The answer to the probe: read-only or not, the heartbeat, and the server's clock where it is told.
+    fn probed(&mut self, sent: Time) -> Reply<Payloads> {
         let answer = match self.answer() {
             Ok(a) if errors::code(&a[0]).is_none() && a.len() >= 2 => a,
             Ok(_) => return Reply { reusable: true, ..Reply::bare(Outcome::Error) },
@@ -368,8 +375,14 @@
         let row = text_row(&answer[answer.len() - 2]);
         let cell = |i: usize| row.get(i).copied().flatten().and_then(|b| std::str::from_utf8(b).ok());
         let primary = cell(0).map(|c| matches!(c, "0" | "OFF" | "off"));
-        let position = cell(1).and_then(|c| c.parse::<f64>().ok()).filter(|ms| ms.is_finite());
-        let position = position.map(|ms| Time((ms * 1000.0) as i64));
+        let time = |i: usize| {
+            let ms = cell(i).and_then(|c| c.parse::<f64>().ok()).filter(|ms| ms.is_finite());
+            ms.map(|ms| Time((ms * 1000.0) as i64))
+        };
+        let position = time(1);
+        if let (true, Some(said)) = (self.settings.server_clock, time(2)) {
+            self.clocks.learn(self.addr, Offset::sample(sent, self.clock.now(), said));
+        }
         Reply { report: Report { primary, position }, reusable: true, ..Reply::bare(Outcome::Ok) }
     }
 }
--- a/pcap/src/record.rs
+++ b/pcap/src/record.rs
@@ -118,7 +118,7 @@
                 Event::Ended(connection, at) => self.end(connection, at),
             };
             if let Err(e) = written {
-                eprintln!("record: stopped: {e}");
+                tracing::error!("record: stopped: {e}");
                 return;
             }
         }
@@ -167,7 +167,7 @@
         if self.full || cost > self.left {
             if !self.full {
                 self.full = true;
-                eprintln!("record: the file is full, nothing more is recorded");
+                tracing::warn!("record: the file is full, nothing more is recorded");
                 return self.file.flush().map_err(|e| e.to_string());
             }
             return Ok(());
--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -357,7 +357,7 @@
 /// A final answer in PostgreSQL's words.
 fn worded(answer: Final<Vec<u8>>) -> Vec<u8> {
     let mut text = match answer {
-        Final::Served(text) => text,
+        Final::Served(text, _) => text,
         Final::Refused(come_back) => {
             let ms = come_back.map(|c| c.as_millis().to_string());
             let mut text = Vec::new();
--- a/postgres/src/link.rs
+++ b/postgres/src/link.rs
@@ -249,6 +249,6 @@
         let note = Report { primary: said.primary, position: said.position };
         // Bytes that stand behind the answer already are nobody's.
         let reusable = reusable && self.buffer.is_empty();
-        Reply { outcome, answer, note, report: said.report, reusable }
+        Reply { outcome, answer, note, commit: None, report: said.report, reusable }
     }
 }
--- a/routing/src/clock.rs
+++ b/routing/src/clock.rs
@@ -17,6 +17,14 @@
         Clock { start: Instant::now(), unix }
     }
 
+    /// A clock set by the system's and put on by this many microseconds (back, where negative).
+    pub fn shifted(micros: i64) -> Self {
+        let mut clock = Clock::new();
+        let by = Duration::from_micros(micros.unsigned_abs());
+        clock.unix = if micros < 0 { clock.unix.saturating_sub(by) } else { clock.unix + by };
+        clock
+    }
+
     /// The present.
     pub fn now(&self) -> Time {
         self.at(Instant::now())
--- a/routing/src/list.rs
+++ b/routing/src/list.rs
@@ -88,7 +88,7 @@
             }
         }
         let ready = held.values().filter(|e| e.state == MemberState::Ready).count();
-        eprintln!("list: version {} names {} instances, {ready} in service", news.version, held.len());
+        tracing::info!("list: version {} names {} instances, {ready} in service", news.version, held.len());
         version.store(news.version, Ordering::Release);
         if module.send(Message::List(news)).is_err() {
             return;
--- a/routing/src/module.rs
+++ b/routing/src/module.rs
@@ -21,8 +21,8 @@
 /// A request's one final answer.
 #[derive(Debug)]
 pub enum Final<A> {
-    /// What an instance answered.
-    Served(A),
+    /// What an instance answered; of a write, when it was committed, where that is known.
+    Served(A, Option<Time>),
     /// Not served; trying again is harmless, after this time where one is known.
     Refused(Option<Duration>),
     /// Not served, and it may have run; how its last attempt ended, if it had any.
@@ -115,13 +115,15 @@
     pub seed: u64,
     /// The program's bounds.
     pub limits: Arc<Limits>,
+    /// The clock that everything here goes by.
+    pub clock: Clock,
 }
 
 impl<W: Wire> Start<W> {
     /// Starts the module's and the list's actors.
     pub fn run(self) -> std::io::Result<(Handle<W>, ListHandle)> {
         let (to, mailbox) = bounded(self.limits.mailbox);
-        let (clock, stack) = (Clock::new(), self.limits.module_stack_bytes);
+        let (clock, stack) = (self.clock, self.limits.module_stack_bytes);
         let list = list::start(&self.limits, to.clone())?;
         let module = Module {
             writes: self.settings.classes.iter().map(|c| c.freshness == decision::Freshness::Write).collect(),
@@ -283,7 +285,7 @@
                         self.members.insert(id, Peer { name: e.id.clone(), addr: e.addr, mailbox });
                     }
                     Err(error) => {
-                        eprintln!("list: no thread for instance {}: {error}", e.id);
+                        tracing::error!("list: no thread for instance {}: {error}", e.id);
                         return None;
                     }
                 }
@@ -311,13 +313,13 @@
         let Some(k) = self.requests.get_mut(&id) else { return };
         let Some(at) = k.out.iter().position(|(n, _)| *n == attempt) else { return };
         k.out.swap_remove(at);
-        let Reply { outcome, answer, mut note, report, .. } = reply;
+        let Reply { outcome, answer, mut note, commit, report, .. } = reply;
         k.last = Some(outcome);
+        let commit = if k.write && outcome == Outcome::Ok { commit.or(note.position.take()) } else { None };
         if let Some(answer) = answer {
-            k.claim(Final::Served(answer));
+            k.claim(Final::Served(answer, commit));
         }
         let ended = k.answer.is_none();
-        let commit = if k.write && outcome == Outcome::Ok { note.position.take() } else { None };
         self.feed(Event::Outcome { request: id, attempt, member, outcome, ended, note, commit, report });
         self.drop_if_done(id);
     }
--- a/routing/src/peer.rs
+++ b/routing/src/peer.rs
@@ -178,7 +178,7 @@
         match started {
             Ok(()) => self.busy.push(Busy { link, key, stop, jobs }),
             Err(e) => {
-                eprintln!("peer {}: no thread for a link: {e}", self.shared.addr);
+                tracing::error!("peer {}: no thread for a link: {e}", self.shared.addr);
                 if let Ok(job) = back.try_recv() {
                     self.shared.report(&job.task, Reply::bare(Outcome::Moot));
                 }
--- a/routing/src/wire.rs
+++ b/routing/src/wire.rs
@@ -1,5 +1,5 @@
 //! What the core asks of a wire.
-use decision::{Outcome, Report};
+use decision::{Outcome, Report, Time};
 use settings::Limits;
 use socket2::SockRef;
 use std::io::{self, IoSlice, Read, Write};
@@ -22,8 +22,11 @@
     pub outcome: Outcome,
     /// What the client gets, where it was served.
     pub answer: Option<A>,
-    /// What the answer's note says of the instance; for a write that was served, its position is the commit.
+    /// What the answer's note says of the instance; for a write that was served, its position is the commit where
+    /// none is told apart.
     pub note: Report,
+    /// When it was committed, should it have been a write: this says nothing of an instance that served a read.
+    pub commit: Option<Time>,
     /// A load report.
     pub report: Report,
     /// The link can carry another piece of work.
@@ -34,7 +37,7 @@
     /// An end that tells nothing more; the link is not used again.
     pub fn bare(outcome: Outcome) -> Self {
         let (note, report) = (Report::default(), Report::default());
-        Reply { outcome, answer: None, note, report, reusable: false }
+        Reply { outcome, answer: None, note, commit: None, report, reusable: false }
     }
 }
 
--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -20,6 +20,24 @@
     pub statements_per_link: usize,
     /// How far the clocks of servers and router may differ: a commit counts as this much later.
     pub clock_skew: Duration,
+    /// What is added to the machine's clock, in microseconds.
+    pub clock_offset_us: i64,
+    /// Sessions that are remembered one by one where the operator's file says nothing of them.
+    pub sessions_alone: usize,
+    /// Commits that are held for an instance that comes back: one that missed more is told all.
+    pub session_resume: usize,
+    /// Sessions in one frame between instances.
+    pub session_chunk: usize,
+    /// Longest frame between instances.
+    pub session_frame_bytes: usize,
+    /// Frames that wait for one peer instance before it is let go.
+    pub session_queue: usize,
+    /// A peer instance that says nothing, or takes nothing, for this long is let go.
+    pub session_silent: Duration,
+    /// Least size at which a journal of sessions is written anew.
+    pub session_compact_bytes: u64,
+    /// How long after a failure the disk is tried again.
+    pub session_disk_retry: Duration,
     /// Longest line that discovery may send.
     pub list_bytes: usize,
     /// Client connections that may be open at a time.
@@ -100,6 +118,15 @@
             statements_per_client: 1024,
             statements_per_link: 128,
             clock_skew: Duration::ZERO,
+            clock_offset_us: 0,
+            sessions_alone: 65_536,
+            session_resume: 65_536,
+            session_chunk: 32_768,
+            session_frame_bytes: 1 << 20,
+            session_queue: 8192,
+            session_silent: Duration::from_secs(5),
+            session_compact_bytes: 8 << 20,
+            session_disk_retry: Duration::from_secs(1),
             list_bytes: 4 << 20,
             client_connections: free * 3 / 4,
             link_connections: free / 4,
--- a/settings/src/operator.rs
+++ b/settings/src/operator.rs
@@ -1,5 +1,5 @@
 //! The operator's TOML: the MySQL front, its classes, rules and servers. A key that is not known is an error.
-use crate::fields::{array, field, number, text, whole};
+use crate::fields::{array, field, flag, number, text, whole};
 use crate::limits::Limits;
 use crate::start::changed;
 use decision::{Class, Effect, Freshness, Settings, Tokens, WhenBehind};
@@ -63,6 +63,10 @@
     pub rules: Vec<Rule>,
     /// The servers at the first start.
     pub servers: Vec<Server>,
+    /// Probes bring the server's clock, as their third cell.
+    pub server_clock: bool,
+    /// Which classes' reads must see what their session has written.
+    pub sessions: Vec<bool>,
 }
 
 /// The replicated store.
@@ -87,11 +91,51 @@
     pub capacity: u64,
 }
 
+/// Sessions that live on across restarts and instances.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sessions {
+    /// This instance's number.
+    pub instance: u64,
+    /// The instances that belong together say the same here.
+    pub cluster: String,
+    /// Where peers bring their commits.
+    pub listen: SocketAddr,
+    /// The other instances, and where they listen.
+    pub peers: BTreeMap<u64, SocketAddr>,
+    /// Where commits are kept; on no disk where it is not set.
+    pub folder: Option<String>,
+    /// Sessions remembered one by one.
+    pub remembered: usize,
+    /// How long one instance relies on another's news without hearing from it.
+    pub lease: Duration,
+    /// After a start without a journal, reads see what they happen to see. Only good for measuring what that costs.
+    pub trust_after_start: bool,
+}
+
+/// The log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Log {
+    /// The least level that is written: error, warn, info, debug or trace.
+    pub level: String,
+    /// Lines of JSON instead of text.
+    pub json: bool,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Log { level: "info".into(), json: false }
+    }
+}
+
 /// All that the operator's file says.
 #[derive(Clone, Debug)]
 pub struct Operator {
     /// The recording, where one is wanted.
     pub record: Option<Record>,
+    /// The log.
+    pub log: Log,
+    /// Sessions across restarts and instances, where they are wanted.
+    pub sessions: Option<Sessions>,
     /// The store; alone and in memory where the file says nothing of it.
     pub store: Store,
     /// The MySQL front.
@@ -109,6 +153,8 @@
 pub struct Reload {
     /// The MySQL front's settings; only users, rules and the default group may differ.
     pub mysql: Mysql,
+    /// The peers of sessions, where the file names sessions at all.
+    pub session_peers: Option<BTreeMap<u64, SocketAddr>>,
     /// Keys that differ and are followed only by a restart.
     pub restart: Vec<String>,
 }
@@ -118,7 +164,18 @@
     let new = read(toml)?;
     let none = Value::Null;
     let of = |v: &'_ Value, key: &str| v.get(key).unwrap_or(&none).clone();
-    let mut restart = changed(&start.said, &new.said, &["mysql"]);
+    let mut restart = changed(&start.said, &new.said, &["mysql", "sessions"]);
+    let (old_sessions, new_sessions) = (of(&start.said, "sessions"), of(&new.said, "sessions"));
+    if old_sessions.is_null() != new_sessions.is_null() {
+        restart.push("sessions".into());
+    } else if !old_sessions.is_null() {
+        restart
+            .extend(changed(&old_sessions, &new_sessions, &["peer"]).iter().map(|k| format!("sessions.{k}")));
+    }
+    // Other instances at peers' addresses would be met by one that is still what it was.
+    let same = |k: &str| old_sessions.get(k) == new_sessions.get(k);
+    let session_peers =
+        new.sessions.filter(|_| start.sessions.is_some() && same("instance") && same("cluster"));
     let (old_mysql, new_mysql) = (of(&start.said, "mysql"), of(&new.said, "mysql"));
     let mut live = vec!["user", "rule", "group"];
     // Rules name classes by their places: with other classes they would mean something else to the module.
@@ -131,7 +188,7 @@
     if live.contains(&"rule") {
         (mysql.rules, mysql.group) = (new.mysql.rules, new.mysql.group);
     }
-    Ok(Reload { mysql, restart })
+    Ok(Reload { mysql, session_peers: session_peers.map(|s| s.peers), restart })
 }
 
 fn only(v: &Value, keys: &[&str]) -> Result<(), String> {
@@ -217,6 +274,8 @@
             "memory_mb",
             "routers",
             "clock_skew_ms",
+            "clock_offset_ms",
+            "server_clock",
             "message_bytes",
             "answer_bytes",
             "class",
@@ -263,6 +322,8 @@
         probe: owned(v, "probe")?,
         rules: each(v, "rule", rule)?,
         servers: each(v, "server", server)?,
+        server_clock: flag(v, "server_clock")?,
+        sessions: classes.iter().map(|(_, c)| c.freshness == Freshness::Session).collect(),
         reading: classes.iter().map(|(_, c)| c.freshness != Freshness::Write).collect(),
         deadlines_ms: classes.iter().map(|(_, c)| (c.deadline / 1000) as u64).collect(),
         classes: classes.iter().map(|(n, _)| n.clone()).collect(),
@@ -283,6 +344,8 @@
     limits.client_first = limits.client_idle;
     limits.clock_skew =
         Duration::from_secs_f64(or(v, "clock_skew_ms", 50.0, positive)?.min(60_000.0) / 1000.0);
+    limits.clock_offset_us =
+        (or(v, "clock_offset_ms", 0.0, number)?.clamp(-86_400_000.0, 86_400_000.0) * 1000.0) as i64;
     let settings = Settings {
         classes: classes.into_iter().map(|(_, c)| c).collect(),
         tenant_rates: vec![],
@@ -292,7 +355,8 @@
         round: 5_000,
         // Servers answer from what they have: a read goes only where proof says that it is fresh enough.
         when_behind: WhenBehind::Answers,
-        tokens: Tokens::Remembered,
+        // The front brings what a session must see: it may be known from elsewhere, or from before a restart.
+        tokens: Tokens::Carried,
         may_duplicate: true,
         max_attempts: 6,
         may_cancel: true,
@@ -333,10 +397,68 @@
     Ok(Store { node, peers, folder, control: control.map(|c| c.to_string()) })
 }
 
+fn sessions(v: &Value) -> Result<Sessions, String> {
+    only(v, &["instance", "cluster", "listen", "folder", "remembered", "lease_ms", "after_start", "peer"])?;
+    let instance = whole(v, "instance")?;
+    let peer = |p: &Value| {
+        only(p, &["instance", "addr"])?;
+        Ok((whole(p, "instance")?, loopback(p, "addr")?))
+    };
+    let listed = each(v, "peer", peer)?;
+    let mut peers: BTreeMap<u64, SocketAddr> = listed.iter().copied().collect();
+    if peers.len() < listed.len() {
+        return Err("expected each 'peer' once".into());
+    }
+    // One list may serve all instances.
+    peers.remove(&instance);
+    let folder = v.get("folder").map(|_| owned(v, "folder")).transpose()?;
+    let lease = or(v, "lease_ms", 300.0, positive)?;
+    if !(50.0..=5000.0).contains(&lease) {
+        return Err(format!("expected 50 to 5000 in 'lease_ms', found {lease}"));
+    }
+    let remembered = or(v, "remembered", 1_000_000, whole)? as usize;
+    if !(1..=100_000_000).contains(&remembered) {
+        return Err(format!("expected 1 to 100000000 in 'remembered', found {remembered}"));
+    }
+    let after_start = or(v, "after_start", "floor".to_string(), owned)?;
+    let trust_after_start = match (after_start.as_str(), &folder) {
+        ("floor", _) => false,
+        ("trust", None) => true,
+        ("trust", Some(_)) => return Err("expected no 'folder' beside after_start = \"trust\"".into()),
+        (x, _) => return Err(format!("expected floor or trust in 'after_start', found '{x}'")),
+    };
+    Ok(Sessions {
+        instance,
+        cluster: or(v, "cluster", "damsonvale".to_string(), owned)?,
+        listen: loopback(v, "listen")?,
+        peers,
+        folder,
+        remembered,
+        lease: Duration::from_secs_f64(lease / 1000.0),
+        trust_after_start,
+    })
+}
+
+fn log(v: &Value) -> Result<Log, String> {
+    only(v, &["level", "format"])?;
+    let level = or(v, "level", "info".to_string(), owned)?;
+    if !["error", "warn", "info", "debug", "trace"].contains(&level.as_str()) {
+        return Err(format!("expected error, warn, info, debug or trace in 'level', found '{level}'"));
+    }
+    let json = match or(v, "format", "text".to_string(), owned)?.as_str() {
+        "text" => false,
+        "json" => true,
+        x => return Err(format!("expected text or json in 'format', found '{x}'")),
+    };
+    Ok(Log { level, json })
+}
+
 /// Reads the file's text.
 pub fn read(toml: &str) -> Result<Operator, String> {
     let v: Value = toml::from_str(toml).map_err(|e| format!("expected TOML: {e}"))?;
-    only(&v, &["mysql", "store", "record"])?;
+    only(&v, &["mysql", "store", "record", "sessions", "log"])?;
+    let sessions = v.get("sessions").map(sessions).transpose().map_err(|e| format!("sessions: {e}"))?;
+    let log = v.get("log").map(log).transpose().map_err(|e| format!("log: {e}"))?.unwrap_or_default();
     let store = match v.get("store") {
         Some(s) => store(s).map_err(|e| format!("store: {e}"))?,
         None => {
@@ -349,5 +471,5 @@
         Ok(Record { file: owned(r, "file")?, capacity: (positive(r, "capacity_mb")? * 1e6) as u64 })
     };
     let record = v.get("record").map(record).transpose().map_err(|e: String| format!("record: {e}"))?;
-    Ok(Operator { record, store, mysql, settings, limits, said: v })
+    Ok(Operator { record, log, sessions, store, mysql, settings, limits, said: v })
 }
--- /dev/null
+++ b/src/signals.rs
@@ -0,0 +1,34 @@
+//! Signals: SIGHUP reads the configuration anew, SIGTERM and SIGINT end the program.
+use crossbeam_channel::{Receiver, bounded};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// Signals that are noted from now on, so that none ends the program while it still starts.
+pub fn note() -> Result<Signals, String> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("no signals: {e}"))
+}
+
+/// Obeys signals: SIGHUP reads the configuration anew, which gives the keys that only a restart follows; any other
+/// one is a message on the channel.
+pub fn obey(
+    mut signals: Signals,
+    stack: usize,
+    mut reload: impl FnMut() -> Result<Vec<String>, String> + Send + 'static,
+) -> Result<Receiver<()>, String> {
+    let (to, stop) = bounded(1);
+    let obey = move || {
+        for signal in signals.forever() {
+            if signal != SIGHUP {
+                _ = to.try_send(());
+                continue;
+            }
+            match reload() {
+                Ok(keys) if keys.is_empty() => tracing::info!("reload: the configuration is followed"),
+                Ok(keys) => tracing::warn!("reload: these keys need a restart: {}", keys.join(", ")),
+                Err(e) => tracing::error!("reload: the old configuration stays: {e}"),
+            }
+        }
+    };
+    routing::spawn("signals", stack, obey).map_err(|e| format!("no signals: {e}"))?;
+    Ok(stop)
+}
--- a/store/src/control.rs
+++ b/store/src/control.rs
@@ -19,7 +19,7 @@
                 Err(_) => std::thread::sleep(std::time::Duration::from_millis(10)),
             };
             if let Err(e) = spawn("command", talk) {
-                eprintln!("store: no thread for a command: {e}");
+                tracing::error!("store: no thread for a command: {e}");
             }
         }
     })
--- a/store/src/node.rs
+++ b/store/src/node.rs
@@ -160,7 +160,7 @@
         Some(folder) => {
             let (disk, kept) = Disk::open(folder).map_err(failed("store: folder"))?;
             if kept.torn > 0 {
-                eprintln!("store: cut a torn tail of {} bytes off the log", kept.torn);
+                tracing::warn!("store: cut a torn tail of {} bytes off the log", kept.torn);
             }
             let mut core = log.wl();
             if kept.snapshot.get_metadata().index > 0 {
@@ -241,7 +241,7 @@
             }
             if let Err(e) = self.advance() {
                 // What can't be kept must not be promised: the node stops, the others go on.
-                eprintln!("store: stopped, the log can't be kept: {e}");
+                tracing::error!("store: stopped, the log can't be kept: {e}");
                 return;
             }
         }
--- a/store/src/peers.rs
+++ b/store/src/peers.rs
@@ -55,7 +55,7 @@
                 Err(_) => std::thread::sleep(Duration::from_millis(10)),
             };
             if let Err(e) = spawn("store-peer", read) {
-                eprintln!("store: no thread for a peer: {e}");
+                tracing::error!("store: no thread for a peer: {e}");
             }
         }
     })
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -452,6 +452,17 @@
     }
 }
 
+#[test]
+fn a_read_that_a_replica_served_says_nothing_of_how_far_it_stands() {
+    let site = Site::start();
+    let (mut client, mut other) = (site.client(), site.client());
+    site.replica.0.state.lock().unwrap().lag_ms = 60_000;
+    client.query_drop("INSERT INTO basket VALUES (1)").unwrap();
+    // The replica answers someone else after the commit; that is no proof that it holds it.
+    assert_eq!(other.query_first::<String, _>(STOCK).unwrap().unwrap(), "replica");
+    assert_eq!(client.query_first::<String, _>("SELECT who FROM basket").unwrap().unwrap(), "primary");
+}
+
 #[test]
 fn what_shared_connections_cannot_carry_is_refused_clearly() {
     let site = Site::start();
