--- a/sessions/src/machine.rs
+++ b/sessions/src/machine.rs
@@ -455,7 +455,10 @@
         let Some(p) = self.peers.get_mut(&peer) else { return };
         (p.linked, p.not_listed) = (true, false);
         self.welcomed = true;
-        if incarnation != self.settings.incarnation || holds + 1 < first || holds > seq {
+        // Whoever holds nothing of this start may lack what was kept from the ones before.
+        let resumes =
+            incarnation == self.settings.incarnation && holds > 0 && holds + 1 >= first && holds <= seq;
+        if !resumes {
             p.confirmed = 0;
             actions.push(Action::PushAll(peer, seq));
             return;
