--- a/standins/src/wire.rs
+++ b/standins/src/wire.rs
@@ -5,7 +5,8 @@
 
 /// An OK payload.
 pub const OK: &[u8] = &[0, 1, 0, 2, 0, 0, 0];
-const EOF: &[u8] = &[0xfe, 0, 0, 2, 0];
+/// An EOF payload.
+pub const EOF: &[u8] = &[0xfe, 0, 0, 2, 0];
 
 /// Payloads as packets, numbered from `first` on.
 pub fn packets(first: u8, payloads: &[&[u8]]) -> Vec<u8> {
@@ -15,11 +16,13 @@
     framed.collect()
 }
 
-fn text(s: &str) -> Vec<u8> {
+/// A text with its length in front.
+pub fn text(s: &str) -> Vec<u8> {
     [&[s.len() as u8][..], s.as_bytes()].concat()
 }
 
-fn column(name: &str) -> Vec<u8> {
+/// A column's definition.
+pub fn column(name: &str) -> Vec<u8> {
     let names = ["def", "", "", "", name, ""].map(text).concat();
     [&names[..], &[0x0c, 45, 0, 0, 1, 0, 0, 0xfd, 0, 0, 0, 0, 0]].concat()
 }
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -4,6 +4,7 @@
 use common::{Folder, LONG, Program, take};
 use mysql::prelude::Queryable;
 use mysql::{Conn, OptsBuilder, Value};
+use standins::wire::{self, EOF, OK, column, packets, text};
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -59,25 +60,6 @@
     Ok((head[3], take(socket, length)?))
 }
 
-fn packets(first: u8, payloads: &[&[u8]]) -> Vec<u8> {
-    let framed = payloads.iter().enumerate().flat_map(|(i, p)| {
-        [&(p.len() as u32).to_le_bytes()[..3], &[first.wrapping_add(i as u8)], p].concat()
-    });
-    framed.collect()
-}
-
-fn text(s: &str) -> Vec<u8> {
-    [&[s.len() as u8][..], s.as_bytes()].concat()
-}
-
-fn column(name: &str) -> Vec<u8> {
-    let names = ["def", "", "", "", name, ""].map(text).concat();
-    [&names[..], &[0x0c, 45, 0, 0, 1, 0, 0, 0xfd, 0, 0, 0, 0, 0]].concat()
-}
-
-const OK: &[u8] = &[0, 1, 0, 2, 0, 0, 0];
-const EOF: &[u8] = &[0xfe, 0, 0, 2, 0];
-
 impl Server {
     fn start(name: &'static str, read_only: bool) -> (Server, Receiver<String>) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -130,26 +112,7 @@
 
     fn talk(&self, socket: &TcpStream) -> Option<()> {
         let mut to = socket;
-        let nonce = [7u8; 20];
-        let flags: u32 = 1 << 3 | 1 << 9 | 1 << 13 | 1 << 15 | 1 << 17 | 1 << 18 | 1 << 19;
-        let low = flags.to_le_bytes();
-        let greeting = [
-            &b"\x0a8.0.1\0\x01\0\0\0"[..],
-            &nonce[..8],
-            &[0],
-            &low[..2],
-            &[45, 2, 0],
-            &low[2..],
-            &[21],
-            &[0; 10],
-            &nonce[8..],
-            &[0],
-            b"mysql_native_password\0",
-        ]
-        .concat();
-        to.write_all(&packets(0, &[&greeting])).ok()?;
-        read(socket).ok()?;
-        to.write_all(&packets(2, &[OK])).ok()?;
+        wire::greet(socket).ok()?;
         let mut prepared: HashMap<u32, String> = HashMap::new();
         loop {
             let (_, body) = read(socket).ok()?;
