Put the core's messages in a file of their own that its three actors stand on

Need: module, peer and list named each other's messages, a knot that every change of the core had to work around.

Change: messages.rs holds what they say to each other; nothing behaves differently.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -8,14 +8,16 @@
 //! - a [peer](peer) for each instance owns the links to it.
 pub mod clock;
 pub mod list;
+pub mod messages;
 pub mod module;
 pub mod peer;
 pub mod wire;
 
 pub use clock::Clock;
 pub use decision::{GroupId, MemberState, Outcome, Report, RequestId, SessionId, Settings, Time};
-pub use list::{Entry, ListHandle, ListNews};
-pub use module::{Final, Handle, Incoming, Start};
+pub use list::ListHandle;
+pub use messages::{Entry, Final, Incoming, ListNews};
+pub use module::{Handle, Start};
 pub use wire::{Link, Reply, Stop, Wire, Work};
 
 /// Starts a named thread with a small stack. A thread that cannot be started is the caller's to handle.
--- a/routing/src/list.rs
+++ b/routing/src/list.rs
@@ -1,47 +1,14 @@
 //! The actor that holds the member list: it takes whole lists and changes in order and passes on what is new.
-use crate::module::Message;
+use crate::messages::{Entry, ListNews, Message};
 use crate::spawn;
 use crate::wire::Wire;
 use crossbeam_channel::{Receiver, Sender, bounded};
-use decision::{GroupId, MemberState, Time};
+use decision::MemberState;
 use settings::Limits;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// One instance as the list has it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// Its id, the same after a restart.
-    pub id: String,
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// Its group.
-    pub group: GroupId,
-    /// Its zone.
-    pub zone: u32,
-    /// Its state.
-    pub state: MemberState,
-    /// The list takes it for the primary of its group.
-    pub primary: bool,
-    /// Its size against others.
-    pub weight: f64,
-    /// Its last start; `None` means long ago.
-    pub started: Option<Time>,
-}
-
-/// News of the list.
-#[derive(Clone, Debug)]
-pub struct ListNews {
-    /// The list's version with this news.
-    pub version: u64,
-    /// The whole list: what it lacks is gone.
-    pub complete: bool,
-    /// The entries.
-    pub entries: Vec<Entry>,
-}
-
 /// Hands news to the list.
 #[derive(Clone)]
 pub struct ListHandle {
--- /dev/null
+++ b/routing/src/messages.rs
@@ -0,0 +1,125 @@
+//! What the core's actors say to each other; the module, the list and the peers stand on this and not on one another's
+//! insides.
+use crate::wire::{Reply, Wire};
+use crossbeam_channel::Sender;
+use decision::{GroupId, MemberId, MemberState, Outcome, Report, RequestId, SessionId, Time};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A request's one final answer.
+#[derive(Debug)]
+pub enum Final<A> {
+    /// What an instance answered; of a write, when it was committed, where that is known.
+    Served(A, Option<Time>),
+    /// Not served; trying again is harmless, after this time where one is known.
+    Refused(Option<Duration>),
+    /// Not served, and it may have run; how its last attempt ended, if it had any.
+    Failed(Option<Outcome>),
+}
+
+/// A request as a front hands it over.
+pub struct Incoming<W: Wire> {
+    /// Its class.
+    pub class: usize,
+    /// Its session.
+    pub session: Option<SessionId>,
+    /// Its group.
+    pub group: GroupId,
+    /// The client gives up then.
+    pub deadline: Time,
+    /// The commit that it must see.
+    pub token: Option<Time>,
+    /// What goes to an instance.
+    pub payload: W::Payload,
+    /// Gets the final answer; must have room for it.
+    pub answer: Sender<Final<W::Answer>>,
+}
+
+/// What the module's mailbox takes.
+pub enum Message<W: Wire> {
+    /// A request has arrived.
+    Arrived(RequestId, Incoming<W>),
+    /// Its client is gone.
+    Left(RequestId),
+    /// An attempt has ended.
+    Ended {
+        /// Which attempt.
+        key: Key,
+        /// At which member.
+        member: MemberId,
+        /// How.
+        reply: Reply<W::Answer>,
+    },
+    /// A probe has ended.
+    Probed {
+        /// Of which member.
+        member: MemberId,
+        /// How.
+        outcome: Outcome,
+        /// What the member reported.
+        report: Report,
+    },
+    /// Links to instances take up most of their descriptors.
+    Crowded,
+    /// News of the list.
+    List(ListNews),
+}
+
+/// An attempt's name: its request and its number.
+pub type Key = (RequestId, u32);
+
+/// What a peer is told.
+pub enum PeerMessage<W: Wire> {
+    /// Carry an attempt; the router stops waiting for it at this moment.
+    Attempt(Key, Arc<W::Payload>, Instant),
+    /// Stop waiting for an attempt.
+    Abandon(Key),
+    /// Ask the instance how it is.
+    Probe,
+    /// Whether the list has it in service.
+    InService(bool),
+    /// Descriptors run short: links that rest are let go.
+    Trim,
+    /// The module has no more use for it.
+    Forgotten,
+    /// A link has ended its work; it waits for more if it can.
+    Ended {
+        /// Which link.
+        link: u64,
+        /// It takes more work.
+        reusable: bool,
+    },
+}
+
+/// One instance as the list has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Its id, the same after a restart.
+    pub id: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its group.
+    pub group: GroupId,
+    /// Its zone.
+    pub zone: u32,
+    /// Its state.
+    pub state: MemberState,
+    /// The list takes it for the primary of its group.
+    pub primary: bool,
+    /// Its size against others.
+    pub weight: f64,
+    /// Its last start; `None` means long ago.
+    pub started: Option<Time>,
+}
+
+/// News of the list.
+#[derive(Clone, Debug)]
+pub struct ListNews {
+    /// The list's version with this news.
+    pub version: u64,
+    /// The whole list: what it lacks is gone.
+    pub complete: bool,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
--- a/routing/src/module.rs
+++ b/routing/src/module.rs
@@ -1,14 +1,14 @@
 //! The actor that owns the decisions: it feeds the [`Router`] and carries out what that wants done. It owns the
 //! clock and the timers, never waits for a socket, and claims the single final answer of each request.
 use crate::clock::Clock;
-use crate::list::{ListHandle, ListNews};
-use crate::peer::{self, Key, PeerMessage};
+use crate::list::ListHandle;
+use crate::messages::{Final, Incoming, Key, ListNews, Message, PeerMessage};
 use crate::wire::{Reply, Wire};
-use crate::{list, spawn};
+use crate::{list, peer, spawn};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use decision::{
-    Action, Event, GroupId, MemberEntry, MemberId, MemberState, Micros, Outcome, Report, Request, RequestId,
-    Router, SessionId, Settings, Time,
+    Action, Event, MemberEntry, MemberId, MemberState, Micros, Outcome, Report, Request, RequestId, Router,
+    Settings, Time,
 };
 use settings::Limits;
 use std::cmp::Reverse;
@@ -18,65 +18,6 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-/// A request's one final answer.
-#[derive(Debug)]
-pub enum Final<A> {
-    /// What an instance answered; of a write, when it was committed, where that is known.
-    Served(A, Option<Time>),
-    /// Not served; trying again is harmless, after this time where one is known.
-    Refused(Option<Duration>),
-    /// Not served, and it may have run; how its last attempt ended, if it had any.
-    Failed(Option<Outcome>),
-}
-
-/// A request as a front hands it over.
-pub struct Incoming<W: Wire> {
-    /// Its class.
-    pub class: usize,
-    /// Its session.
-    pub session: Option<SessionId>,
-    /// Its group.
-    pub group: GroupId,
-    /// The client gives up then.
-    pub deadline: Time,
-    /// The commit that it must see.
-    pub token: Option<Time>,
-    /// What goes to an instance.
-    pub payload: W::Payload,
-    /// Gets the final answer; must have room for it.
-    pub answer: Sender<Final<W::Answer>>,
-}
-
-/// What the module's mailbox takes.
-pub enum Message<W: Wire> {
-    /// A request has arrived.
-    Arrived(RequestId, Incoming<W>),
-    /// Its client is gone.
-    Left(RequestId),
-    /// An attempt has ended.
-    Ended {
-        /// Which attempt.
-        key: Key,
-        /// At which member.
-        member: MemberId,
-        /// How.
-        reply: Reply<W::Answer>,
-    },
-    /// A probe has ended.
-    Probed {
-        /// Of which member.
-        member: MemberId,
-        /// How.
-        outcome: Outcome,
-        /// What the member reported.
-        report: Report,
-    },
-    /// Links to instances take up most of their descriptors.
-    Crowded,
-    /// News of the list.
-    List(ListNews),
-}
-
 /// Hands requests to the module.
 pub struct Handle<W: Wire> {
     to: Sender<Message<W>>,
--- a/routing/src/peer.rs
+++ b/routing/src/peer.rs
@@ -1,42 +1,16 @@
 //! The actor of one instance: it owns the links to it, reuses the warm ones and retires them before the
 //! instance would.
-use crate::module::Message;
+use crate::messages::{Key, Message, PeerMessage};
 use crate::spawn;
 use crate::wire::{Link, Reply, Stop, Unsent, Wire, Work};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
-use decision::{MemberId, Outcome, RequestId};
+use decision::{MemberId, Outcome};
 use settings::Limits;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
-/// An attempt's name: its request and its number.
-pub type Key = (RequestId, u32);
-
-/// What a peer is told.
-pub enum PeerMessage<W: Wire> {
-    /// Carry an attempt; the router stops waiting for it at this moment.
-    Attempt(Key, Arc<W::Payload>, Instant),
-    /// Stop waiting for an attempt.
-    Abandon(Key),
-    /// Ask the instance how it is.
-    Probe,
-    /// Whether the list has it in service.
-    InService(bool),
-    /// Descriptors run short: links that rest are let go.
-    Trim,
-    /// The module has no more use for it.
-    Forgotten,
-    /// A link has ended its work; it waits for more if it can.
-    Ended {
-        /// Which link.
-        link: u64,
-        /// It takes more work.
-        reusable: bool,
-    },
-}
-
 enum Task<W: Wire> {
     Attempt(Key, Arc<W::Payload>, Instant),
     Probe,
