Follow a key-value registry with watches: state machines, etcd and Consul dialects, client

Other installations keep their node list in a registry with revisions, watches and compaction; only the platform's own watch was followed.

Change: the package registry holds a machine that turns what a registry says into changes in order and once each, a fleet that decides what still holds when news is old or half of the list vanishes, endpoints under a retry budget, both dialects over plain sockets or TLS, a list kept on disk, and a registration under a lease. The reader of HTTP answers moves from discovery to http1 and loses nothing when its patience ends in the middle of a line. A stand-in registry speaks both dialects and fails on demand.

Found by the random run: after a change out of order, a break before everything had been read let the next watch go on as if nothing was missing.

--- a/discovery/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -1,13 +1,12 @@
 //! Watches the list of servers: one HTTP request whose chunked answer stays open and carries a line of JSON for
 //! each change. A watch that breaks or falls silent is opened anew where it ended. The watch can move to another
 //! address: the old one goes on until the new one has brought something, so that no change is missed between them.
-mod body;
 pub mod entries;
 
-use body::Body;
+use http1::Answer;
 use routing::{ListHandle, spawn};
 use settings::Limits;
-use std::io::{self, Write};
+use std::io::{self, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -120,7 +119,11 @@
         }
         let version = self.list.version();
         write!(socket, "GET /v1/servers?stream=1&index={version} HTTP/1.1\r\nHost: {addr}\r\n\r\n")?;
-        let mut body = Body::open(socket, self.limits.list_bytes)?;
+        let answer = Answer::read(BufReader::with_capacity(8192, socket), self.limits.list_bytes)?;
+        if answer.code != 200 {
+            return Err(io::Error::other(format!("expected status 200, found {}", answer.code)));
+        }
+        let mut body = answer.body;
         let mut line = Vec::new();
         while body.line(&mut line)? {
             if !std::mem::replace(heard, true) {
--- /dev/null
+++ b/registry/src/lib.rs
@@ -0,0 +1,44 @@
+//! Follows a key-value registry that has revisions, watches and compaction, and registers this router there.
+//!
+//! [`machine`] turns what a registry says into changes in order, once each, whatever breaks, repeats or goes back.
+//! [`fleet`] makes a node list of them and decides what still holds when the registry is silent or loses half of it.
+//! [`endpoints`] picks the member to ask. None of these does I/O or reads a clock. [`etcd`] and [`consul`] are the
+//! dialects, [`http`] and [`tls`] the connection, and [`client`] drives all of it. `docs/registry.md` gives the reasons.
+pub mod cache;
+pub mod client;
+pub mod consul;
+pub mod endpoints;
+pub mod etcd;
+pub mod fleet;
+pub mod http;
+pub mod machine;
+pub mod tls;
+
+use std::fmt;
+
+/// Why a registry could not be asked.
+#[derive(Debug)]
+pub enum Failed {
+    /// The connection failed, or brought what is no answer.
+    Broken(String),
+    /// The revision asked for has been compacted away.
+    Compacted,
+    /// It refused: its code and text.
+    Refused(u16, String),
+}
+
+impl fmt::Display for Failed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failed::Broken(why) => write!(f, "{why}"),
+            Failed::Compacted => write!(f, "the revision has been compacted away"),
+            Failed::Refused(code, why) => write!(f, "refused with {code}: {why}"),
+        }
+    }
+}
+
+impl From<std::io::Error> for Failed {
+    fn from(e: std::io::Error) -> Self {
+        Failed::Broken(e.to_string())
+    }
+}
--- /dev/null
+++ b/registry/src/tls.rs
@@ -0,0 +1,82 @@
+//! TLS to the registry: an own authority, a client's certificate, and both read anew when their files change.
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
+use settings::operator::RegistryTls;
+use std::io;
+use std::net::{IpAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::SystemTime;
+
+type Stamp = Vec<Option<SystemTime>>;
+
+/// What connections to the registry are made with.
+pub struct Tls {
+    files: RegistryTls,
+    held: Mutex<(Stamp, Arc<ClientConfig>)>,
+}
+
+fn stamp(files: &RegistryTls) -> Stamp {
+    let names = [Some(&files.ca), files.cert.as_ref(), files.key.as_ref()];
+    names.into_iter().flatten().map(|f| std::fs::metadata(f).and_then(|m| m.modified()).ok()).collect()
+}
+
+fn config(files: &RegistryTls) -> Result<ClientConfig, String> {
+    let read = |path: &str, what: &str, e: &dyn std::fmt::Display| format!("{path}: {what}: {e}");
+    let mut roots = RootCertStore::empty();
+    let all = CertificateDer::pem_file_iter(&files.ca).map_err(|e| read(&files.ca, "no authority", &e))?;
+    for c in all {
+        let c = c.map_err(|e| read(&files.ca, "no authority", &e))?;
+        roots.add(c).map_err(|e| read(&files.ca, "no authority", &e))?;
+    }
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let builder = ClientConfig::builder_with_provider(provider).with_safe_default_protocol_versions();
+    let builder = builder.map_err(|e| e.to_string())?.with_root_certificates(roots);
+    let (Some(cert), Some(key)) = (&files.cert, &files.key) else { return Ok(builder.with_no_client_auth()) };
+    let chain = CertificateDer::pem_file_iter(cert).and_then(Iterator::collect);
+    let chain: Vec<CertificateDer> = chain.map_err(|e| read(cert, "no certificate", &e))?;
+    let private = PrivateKeyDer::from_pem_file(key).map_err(|e| read(key, "no key", &e))?;
+    builder.with_client_auth_cert(chain, private).map_err(|e| read(key, "certificate and key", &e))
+}
+
+impl Tls {
+    /// Reads the files; what can't be read is named.
+    pub fn new(files: RegistryTls) -> Result<Tls, String> {
+        let held = (stamp(&files), Arc::new(config(&files)?));
+        Ok(Tls { files, held: Mutex::new(held) })
+    }
+
+    /// What new connections use: files that have changed are read anew; faulty ones leave the old ones in force.
+    fn config(&self) -> Arc<ClientConfig> {
+        let mut held = self.held.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let now = stamp(&self.files);
+        if held.0 != now {
+            match config(&self.files) {
+                Ok(config) => {
+                    *held = (now, Arc::new(config));
+                    tracing::info!("registry: certificates read anew");
+                }
+                Err(e) => {
+                    // Said once for each change.
+                    held.0 = now;
+                    tracing::error!("registry: the old certificates stay: {e}");
+                }
+            }
+        }
+        held.1.clone()
+    }
+
+    /// A connection on a socket; the handshake comes with the first bytes.
+    pub fn connect(
+        &self,
+        socket: TcpStream,
+        ip: IpAddr,
+    ) -> io::Result<Box<StreamOwned<ClientConnection, TcpStream>>> {
+        let name = match &self.files.server_name {
+            Some(n) => ServerName::try_from(n.clone()).map_err(io::Error::other)?,
+            None => ServerName::from(ip),
+        };
+        let connection = ClientConnection::new(self.config(), name).map_err(io::Error::other)?;
+        Ok(Box::new(StreamOwned::new(connection, socket)))
+    }
+}
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -17,7 +17,7 @@
 pub use decision::{GroupId, MemberState, Outcome, Report, RequestId, SessionId, Settings, Time};
 pub use list::ListHandle;
 pub use messages::{Entry, Final, Incoming, ListNews};
-pub use module::{Handle, Start};
+pub use module::{Answered, Handle, Start};
 pub use wire::{Link, Reply, Stop, Wire, Work};
 
 /// Starts a named thread with a small stack. A thread that cannot be started is the caller's to handle.
--- a/routing/src/module.rs
+++ b/routing/src/module.rs
@@ -14,10 +14,34 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// The names of instances that have answered, while somebody wants to know.
+#[derive(Debug, Default)]
+pub struct Answered {
+    wanted: AtomicBool,
+    names: Mutex<HashSet<String>>,
+}
+
+impl Answered {
+    fn note(&self, name: &str) {
+        if self.wanted.load(Ordering::Relaxed) {
+            let mut names = self.names.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+            if !names.contains(name) {
+                names.insert(name.to_string());
+            }
+        }
+    }
+
+    /// Says whether names are wanted from now on, and gives those since the last time.
+    pub fn take(&self, wanted: bool) -> HashSet<String> {
+        self.wanted.store(wanted, Ordering::Relaxed);
+        std::mem::take(&mut *self.names.lock().unwrap_or_else(|poisoned| poisoned.into_inner()))
+    }
+}
+
 /// Hands requests to the module.
 pub struct Handle<W: Wire> {
     to: Sender<Message<W>>,
@@ -58,6 +82,8 @@
     pub limits: Arc<Limits>,
     /// The clock that everything here goes by.
     pub clock: Clock,
+    /// Notes which instances answer, where somebody asks for it.
+    pub answered: Option<Arc<Answered>>,
 }
 
 impl<W: Wire> Start<W> {
@@ -80,6 +106,7 @@
             requests: HashMap::new(),
             timers: BinaryHeap::new(),
             deferred: VecDeque::new(),
+            answered: self.answered,
         };
         spawn("module", stack, move || module.run(&mailbox))?;
         Ok((Handle { to, next: Arc::default(), clock }, list))
@@ -135,6 +162,7 @@
     timers: BinaryHeap<Reverse<(Time, Due)>>,
     /// Messages to itself: what could not be handed to a peer.
     deferred: VecDeque<Message<W>>,
+    answered: Option<Arc<Answered>>,
 }
 
 impl<W: Wire> Module<W> {
@@ -185,6 +213,7 @@
             }
             Message::Ended { key, member, reply } => self.ended(key, member, reply),
             Message::Probed { member, outcome, report } => {
+                self.note(member, outcome);
                 self.feed(Event::Probed { member, outcome, report });
             }
             Message::Crowded => {
@@ -194,6 +223,14 @@
         }
     }
 
+    fn note(&self, member: MemberId, outcome: Outcome) {
+        if let Some(a) = self.answered.as_ref().filter(|_| outcome == Outcome::Ok)
+            && let Some(m) = self.members.get(&member)
+        {
+            a.note(&m.name);
+        }
+    }
+
     fn arrived(&mut self, id: RequestId, incoming: Incoming<W>) {
         let Incoming { class, session, group, deadline, token, payload, answer } = incoming;
         let write = self.writes.get(class).copied().unwrap_or(true);
@@ -251,6 +288,7 @@
 
     /// An attempt has ended at its member. After its time-out nobody waits for it any more.
     fn ended(&mut self, (id, attempt): Key, member: MemberId, reply: Reply<W::Answer>) {
+        self.note(member, reply.outcome);
         let Some(k) = self.requests.get_mut(&id) else { return };
         let Some(at) = k.out.iter().position(|(n, _)| *n == attempt) else { return };
         k.out.swap_remove(at);
--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -28,6 +28,22 @@
     pub clock_retry: Duration,
     /// Sessions that are remembered one by one where the operator's file says nothing of them.
     pub sessions_alone: usize,
+    /// Longest answer of a registry, or line of a watch.
+    pub registry_bytes: usize,
+    /// Keys in one page that is read from a registry.
+    pub registry_page: usize,
+    /// A registry's answer that brings nothing for this long has failed.
+    pub registry_silent: Duration,
+    /// A watch that is quiet for this long is checked by a read beside it.
+    pub registry_quiet: Duration,
+    /// How long a registry may hold a blocking query.
+    pub registry_wait: Duration,
+    /// First and longest pause before a member of a registry that failed is asked again.
+    pub registry_retry: (Duration, Duration),
+    /// Changes of a registry that come within this time of each other reach the list together; drains never wait.
+    pub registry_gather: Duration,
+    /// How often the last list is written to disk at most.
+    pub registry_keep: Duration,
     /// Commits that are held for an instance that comes back: one that missed more is told all.
     pub session_resume: usize,
     /// Sessions in one frame between instances.
@@ -126,6 +142,14 @@
             clock_pause: Duration::from_secs(10),
             clock_retry: Duration::from_millis(200),
             sessions_alone: 65_536,
+            registry_bytes: 8 << 20,
+            registry_page: 1000,
+            registry_silent: Duration::from_secs(2),
+            registry_quiet: Duration::from_millis(500),
+            registry_wait: Duration::from_secs(5),
+            registry_retry: (Duration::from_millis(50), Duration::from_secs(3)),
+            registry_gather: Duration::from_millis(10),
+            registry_keep: Duration::from_secs(2),
             session_resume: 65_536,
             session_chunk: 32_768,
             session_frame_bytes: 1 << 20,
--- a/settings/src/operator.rs
+++ b/settings/src/operator.rs
@@ -3,6 +3,7 @@
 use crate::limits::Limits;
 use crate::start::changed;
 use decision::{Class, Effect, Freshness, Settings, Tokens, WhenBehind};
+use ipnet::IpNet;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -112,6 +113,69 @@
     pub trust_after_start: bool,
 }
 
+/// Which interface a registry has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RegistryKind {
+    /// etcd's JSON gateway, version 3.
+    Etcd,
+    /// Consul's HTTP interface.
+    Consul,
+}
+
+/// Files for TLS to the registry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegistryTls {
+    /// The authority that its certificate is from.
+    pub ca: String,
+    /// This router's certificate,
+    pub cert: Option<String>,
+    /// and its key.
+    pub key: Option<String>,
+    /// The name in the registry's certificate; its address where none is given.
+    pub server_name: Option<String>,
+}
+
+/// A key-value registry that is followed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Registry {
+    /// Its interface.
+    pub kind: RegistryKind,
+    /// Its members.
+    pub endpoints: Vec<SocketAddr>,
+    /// What keys begin with; ends in a slash.
+    pub prefix: String,
+    /// Consul: the service whose instances are nodes.
+    pub service: Option<String>,
+    /// etcd: user and password.
+    pub user: Option<(String, String)>,
+    /// Consul: the token.
+    pub token: Option<String>,
+    /// TLS, where it is wanted.
+    pub tls: Option<RegistryTls>,
+    /// Networks that nodes may be in; any where none is named.
+    pub allow: Vec<IpNet>,
+    /// Networks that they may not be in.
+    pub deny: Vec<IpNet>,
+    /// News of this age still lets new work go to every node;
+    pub fresh: Duration,
+    /// and past this age to none, where it is set.
+    pub last: Option<Duration>,
+    /// Where more than this share of the nodes vanishes at once, they are held
+    pub held_share: f64,
+    /// for this long.
+    pub held: Duration,
+    /// A registry that stands behind for this long was restored.
+    pub restored_after: Duration,
+    /// Where the last list is kept.
+    pub folder: Option<String>,
+    /// The name under which this router registers itself, where it does.
+    pub register: Option<String>,
+    /// How long a registration outlives this router.
+    pub ttl: Duration,
+    /// This router's zone.
+    pub zone: String,
+}
+
 /// The log.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Log {
@@ -134,6 +198,8 @@
     pub record: Option<Record>,
     /// The log.
     pub log: Log,
+    /// The registry, where one is followed.
+    pub registry: Option<Registry>,
     /// Sessions across restarts and instances, where they are wanted.
     pub sessions: Option<Sessions>,
     /// The store; alone and in memory where the file says nothing of it.
@@ -159,9 +225,21 @@
     pub restart: Vec<String>,
 }
 
-/// Reads the text of a later file against the start.
-pub fn reload(toml: &str, start: &Operator) -> Result<Reload, String> {
-    let new = read(toml)?;
+/// Reads the text of a later file against the start, with what a registry says of users, rules and the default group
+/// in place of what the file does.
+pub fn reload(toml: &str, overlay: Option<&str>, start: &Operator) -> Result<Reload, String> {
+    let mut v = parsed(toml)?;
+    if let Some(overlay) = overlay {
+        let over = parsed(overlay)?;
+        only(&over, &["mysql"])?;
+        let over = field(&over, "mysql")?;
+        only(over, &["user", "rule", "group"]).map_err(|e| format!("mysql: {e}"))?;
+        let mysql = v.get_mut("mysql").and_then(Value::as_object_mut).ok_or("expected a table 'mysql'")?;
+        for (key, value) in over.as_object().into_iter().flatten() {
+            mysql.insert(key.clone(), value.clone());
+        }
+    }
+    let new = from(v)?;
     let none = Value::Null;
     let of = |v: &'_ Value, key: &str| v.get(key).unwrap_or(&none).clone();
     let mut restart = changed(&start.said, &new.said, &["mysql", "sessions"]);
@@ -439,6 +517,114 @@
     })
 }
 
+fn registry(v: &Value) -> Result<Registry, String> {
+    only(
+        v,
+        &[
+            "kind",
+            "endpoints",
+            "prefix",
+            "service",
+            "user",
+            "password",
+            "token",
+            "tls",
+            "allow",
+            "deny",
+            "fresh_s",
+            "last_s",
+            "held_share",
+            "held_s",
+            "restored_after_s",
+            "folder",
+            "register",
+            "ttl_s",
+            "zone",
+        ],
+    )?;
+    let kind = match text(v, "kind")? {
+        "etcd" => RegistryKind::Etcd,
+        "consul" => RegistryKind::Consul,
+        x => return Err(format!("expected etcd or consul in 'kind', found '{x}'")),
+    };
+    let words = |key: &str| -> Result<Vec<String>, String> {
+        let Some(_) = v.get(key) else { return Ok(Vec::new()) };
+        let word = |x: &Value| x.as_str().map(str::to_string).ok_or(format!("expected texts in '{key}'"));
+        array(v, key)?.iter().map(word).collect()
+    };
+    let endpoint = |a: String| a.parse().map_err(|_| format!("expected ip:port in 'endpoints', found '{a}'"));
+    let endpoints: Vec<SocketAddr> =
+        words("endpoints")?.into_iter().map(endpoint).collect::<Result<_, _>>()?;
+    if endpoints.is_empty() {
+        return Err("expected an address in 'endpoints'".into());
+    }
+    let nets = |key: &str| -> Result<Vec<IpNet>, String> {
+        let net = |a: String| {
+            let one = || a.parse::<std::net::IpAddr>().ok().map(IpNet::from);
+            a.parse()
+                .ok()
+                .or_else(one)
+                .ok_or(format!("expected a network or an address in '{key}', found '{a}'"))
+        };
+        words(key)?.into_iter().map(net).collect()
+    };
+    let prefix = format!("/{}/", text(v, "prefix")?.trim_matches('/'));
+    if prefix == "//" {
+        return Err("expected something in 'prefix'".into());
+    }
+    let maybe = |key: &str| v.get(key).map(|_| owned(v, key)).transpose();
+    let seconds = |key: &str, default: f64| -> Result<Duration, String> {
+        Ok(Duration::from_secs_f64(or(v, key, default, positive)?.min(86_400.0)))
+    };
+    let tls = |t: &Value| {
+        only(t, &["ca", "cert", "key", "server_name"])?;
+        let maybe = |key: &str| t.get(key).map(|_| owned(t, key)).transpose();
+        let tls = RegistryTls {
+            ca: owned(t, "ca")?,
+            cert: maybe("cert")?,
+            key: maybe("key")?,
+            server_name: maybe("server_name")?,
+        };
+        if tls.cert.is_some() != tls.key.is_some() {
+            return Err("expected 'cert' and 'key' together".to_string());
+        }
+        Ok(tls)
+    };
+    let held_share = or(v, "held_share", 0.5, positive)?;
+    if held_share > 1.0 {
+        return Err(format!("expected at most 1 in 'held_share', found {held_share}"));
+    }
+    let user = maybe("user")?.map(|u| Ok::<_, String>((u, owned(v, "password")?))).transpose()?;
+    let last = v.get("last_s").map(|_| seconds("last_s", 0.0)).transpose()?;
+    let fresh = seconds("fresh_s", 10.0)?;
+    if last.is_some_and(|l| l < fresh) {
+        return Err("expected 'last_s' to be at least 'fresh_s'".into());
+    }
+    if kind == RegistryKind::Etcd && v.get("service").is_some() {
+        return Err("expected 'service' with consul only".into());
+    }
+    Ok(Registry {
+        kind,
+        endpoints,
+        prefix,
+        service: maybe("service")?,
+        user,
+        token: maybe("token")?,
+        tls: v.get("tls").map(tls).transpose().map_err(|e| format!("tls: {e}"))?,
+        allow: nets("allow")?,
+        deny: nets("deny")?,
+        fresh,
+        last,
+        held_share,
+        held: seconds("held_s", 60.0)?,
+        restored_after: seconds("restored_after_s", 10.0)?,
+        folder: maybe("folder")?,
+        register: maybe("register")?,
+        ttl: seconds("ttl_s", 10.0)?.max(Duration::from_secs(1)),
+        zone: or(v, "zone", String::new(), owned)?,
+    })
+}
+
 fn log(v: &Value) -> Result<Log, String> {
     only(v, &["level", "format"])?;
     let level = or(v, "level", "info".to_string(), owned)?;
@@ -453,10 +639,18 @@
     Ok(Log { level, json })
 }
 
+fn parsed(toml: &str) -> Result<Value, String> {
+    toml::from_str(toml).map_err(|e| format!("expected TOML: {e}"))
+}
+
 /// Reads the file's text.
 pub fn read(toml: &str) -> Result<Operator, String> {
-    let v: Value = toml::from_str(toml).map_err(|e| format!("expected TOML: {e}"))?;
-    only(&v, &["mysql", "store", "record", "sessions", "log"])?;
+    from(parsed(toml)?)
+}
+
+fn from(v: Value) -> Result<Operator, String> {
+    only(&v, &["mysql", "store", "record", "sessions", "log", "registry"])?;
+    let registry = v.get("registry").map(registry).transpose().map_err(|e| format!("registry: {e}"))?;
     let sessions = v.get("sessions").map(sessions).transpose().map_err(|e| format!("sessions: {e}"))?;
     let log = v.get("log").map(log).transpose().map_err(|e| format!("log: {e}"))?.unwrap_or_default();
     let store = match v.get("store") {
@@ -471,5 +665,5 @@
         Ok(Record { file: owned(r, "file")?, capacity: (positive(r, "capacity_mb")? * 1e6) as u64 })
     };
     let record = v.get("record").map(record).transpose().map_err(|e: String| format!("record: {e}"))?;
-    Ok(Operator { record, log, sessions, store, mysql, settings, limits, said: v })
+    Ok(Operator { record, log, registry, sessions, store, mysql, settings, limits, said: v })
 }
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -19,6 +19,9 @@
         limits.client_connections, limits.link_connections
     );
     println!("store: node {} of {}", o.store.node, o.store.peers.len());
+    if let Some(r) = &o.registry {
+        println!("registry: {:?} at {} addresses, {}", r.kind, r.endpoints.len(), r.prefix);
+    }
     match &o.sessions {
         None => println!("sessions: remembered by this process alone"),
         Some(s) => println!(
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod ctl;
 pub mod platform;
+pub mod registry;
 pub mod serve;
 pub mod sessions;
 
--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -20,6 +20,7 @@
         seed: start.seed,
         limits: limits.clone(),
         clock: routing::Clock::new(),
+        answered: None,
     };
     let (handle, list) = core.run().map_err(|e| format!("the core does not start: {e}"))?;
     let mut reader = discovery::entries::Reader::new(start.names.zones.clone());
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -1,13 +1,18 @@
 //! `serve`: the MySQL front, its store, its sessions and its recording, as an operator's file says.
 use crate::signals;
+use crossbeam_channel::bounded;
+use mysql_wire::front::Front;
+
 use ::sessions::node::Sessions;
-use routing::{Clock, Entry, GroupId, ListNews, MemberState};
+use registry::client::{Client, Heeds, Router};
+use routing::{Answered, Clock, Entry, GroupId, ListNews, MemberState};
 use serde_json::{Value, json};
 use settings::fields::{number, text, whole};
-use settings::operator::{Operator, Server};
-use std::net::TcpListener;
-use std::path::Path;
-use std::sync::Arc;
+use settings::operator::{Operator, Reload, Server};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
 
 /// The member list as the store holds it. A server that can't be read is left out and named in the log.
 fn members(state: &store::State) -> ListNews {
@@ -38,6 +43,76 @@
     ListNews { version: state.applied, complete: true, entries }
 }
 
+/// What a router that runs follows: its file, and what a registry says besides.
+struct Follows {
+    path: PathBuf,
+    operator: Operator,
+    front: Arc<Front>,
+    sessions: Arc<Sessions>,
+    found: Mutex<Found>,
+}
+
+/// What a registry has said.
+#[derive(Default)]
+struct Found {
+    /// Users, rules and the default group.
+    overlay: Option<String>,
+    /// Instances that share sessions. One that is registered no more may serve all the same: only the file's list
+    /// says that an instance has left for good.
+    peers: BTreeMap<u64, SocketAddr>,
+}
+
+impl Follows {
+    fn found(&self) -> std::sync::MutexGuard<'_, Found> {
+        self.found.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn read(&self, overlay: Option<&str>) -> Result<Reload, String> {
+        let text = super::read(&self.path)?;
+        settings::operator::reload(&text, overlay, &self.operator)
+            .map_err(|e| format!("{}: {e}", self.path.display()))
+    }
+
+    fn follow(&self, reload: Reload, found: &Found) -> Vec<String> {
+        self.front.reload(reload.mysql);
+        if let Some(mut peers) = reload.session_peers {
+            peers.extend(found.peers.clone());
+            self.sessions.list(peers);
+        }
+        reload.restart
+    }
+
+    fn reload(&self) -> Result<Vec<String>, String> {
+        let found = self.found();
+        let reload = self.read(found.overlay.as_deref())?;
+        Ok(self.follow(reload, &found))
+    }
+
+    fn heeds(self: Arc<Self>) -> Heeds {
+        let own = self.clone();
+        let config = move |text: Option<&str>| {
+            let mut found = own.found();
+            let reload = own.read(text)?;
+            found.overlay = text.map(str::to_string);
+            own.follow(reload, &found);
+            Ok(())
+        };
+        let routers = move |known: &BTreeMap<String, Router>| {
+            let Some(sessions) = &self.operator.sessions else { return };
+            let mut found = self.found();
+            let before = found.peers.clone();
+            let others = known.values().filter_map(|r| r.sessions).filter(|(n, _)| *n != sessions.instance);
+            found.peers.extend(others);
+            if found.peers != before
+                && let Ok(reload) = self.read(found.overlay.as_deref())
+            {
+                self.follow(reload, &found);
+            }
+        };
+        Heeds { config: Box::new(config), routers: Box::new(routers) }
+    }
+}
+
 /// Serves MySQL until SIGTERM.
 pub fn run(path: &Path) -> Result<(), String> {
     let operator = super::operator(path)?;
@@ -58,7 +133,9 @@
         let servers = mysql.servers.iter().map(|s| s.addr).collect();
         mysql_wire::watch::start(wire.clone(), servers, &limits).map_err(|e| format!("no thread: {e}"))?;
     }
-    let core = routing::Start { wire, settings, seed, limits: limits.clone(), clock };
+    let answered = operator.registry.as_ref().map(|_| Arc::new(Answered::default()));
+    let core =
+        routing::Start { wire, settings, seed, limits: limits.clone(), clock, answered: answered.clone() };
     let (handle, list) = core.run().map_err(|e| format!("the core does not start: {e}"))?;
     let seed = |s: &Server| {
         let value = json!({"addr": s.addr, "group": s.group, "weight": s.weight, "state": "in_service"});
@@ -70,7 +147,13 @@
         folder: operator_store.folder.map(Into::into),
         seeds: mysql.servers.iter().map(seed).collect(),
     };
-    let store = store::start(set_up, move |state| _ = list.tell(members(state)))?;
+    // With a registry the list is its alone.
+    let listed = operator.registry.is_none().then(|| list.clone());
+    let store = store::start(set_up, move |state| {
+        if let Some(list) = &listed {
+            list.tell(members(state));
+        }
+    })?;
     if let Some(at) = operator_store.control {
         let listener = TcpListener::bind(&at).map_err(|e| format!("control: {at}: {e}"))?;
         let at = listener.local_addr().map_err(|e| format!("control: {e}"))?;
@@ -78,24 +161,46 @@
         tracing::info!("control: answering on {at}");
     }
     let listener = super::listen("mysql", &mysql.listen)?;
+    let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     let tap: Option<Arc<dyn mysql_wire::Tap>> = match record {
         None => None,
-        Some(r) => {
-            let at = listener.local_addr().map_err(|e| format!("record: {e}"))?;
-            Some(Arc::new(pcap::record::Recorder::start(r.file.as_ref(), r.capacity, at)?))
-        }
+        Some(r) => Some(Arc::new(pcap::record::Recorder::start(r.file.as_ref(), r.capacity, at)?)),
     };
     let front = mysql_wire::front::Front::new(handle, mysql, limits.clone(), tap, sessions.clone());
-    let (path, own, known) = (path.to_path_buf(), front.clone(), sessions.clone());
-    let stop = signals::obey(signals, limits.module_stack_bytes, move || {
-        let reload = settings::operator::reload(&super::read(&path)?, &operator)
-            .map_err(|e| format!("{}: {e}", path.display()))?;
-        own.reload(reload.mysql);
-        if let Some(peers) = reload.session_peers {
-            known.list(peers);
+    let follows = Arc::new(Follows {
+        path: path.to_path_buf(),
+        operator: operator.clone(),
+        front: front.clone(),
+        sessions: sessions.clone(),
+        found: Mutex::default(),
+    });
+    let registry = match operator.registry.clone().zip(answered) {
+        None => None,
+        Some((settings, answered)) => {
+            let heeds = follows.clone().heeds();
+            let client = Client::start(settings, &limits, clock, list, answered, heeds)?;
+            let own = operator.sessions.as_ref().map(|s| (s.instance, s.listen));
+            client.register(Router { addr: at, sessions: own, incarnation: clock.now().0 as u64 })?;
+            Some(client)
         }
-        Ok(reload.restart)
-    })?;
+    };
+    let stop = signals::obey(signals, limits.module_stack_bytes, move || follows.reload())?;
+    // A router that ends is off the registry while it still takes its last requests.
+    let stop = match registry {
+        None => stop,
+        Some(client) => {
+            let (to, ended) = bounded(1);
+            let wait = move || {
+                let told = stop.recv();
+                // The front's grace has begun when the lease is given up; both take less than that.
+                _ = told.map(|()| to.send(()));
+                client.stop();
+            };
+            routing::spawn("leaving", limits.module_stack_bytes, wait)
+                .map_err(|e| format!("no thread: {e}"))?;
+            ended
+        }
+    };
     let ended = clients::Clients::new(front, limits).serve(listener, &stop);
     sessions.stop();
     ended.map_err(|e| format!("the front ended: {e}"))
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,7 @@
 mod signals;
 
 use clap::{Args, Parser, Subcommand};
-use commands::{capture, check, ctl, platform, serve, sessions};
+use commands::{capture, check, ctl, platform, registry, serve, sessions};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -35,6 +35,8 @@
     Requests(File),
     /// Sends a capture's requests through a router; the password is in $DAMSONVALE_PASSWORD.
     Replay(capture::Replay),
+    /// Looks at the registry that an operator's file names, and changes what stands there.
+    Registry(registry::Arguments),
     /// Looks at what sessions must see: a folder offline, or an instance that runs.
     #[command(subcommand)]
     Sessions(sessions::Command),
@@ -59,6 +61,7 @@
         Some(Command::Ctl(arguments)) => ctl::run(&arguments),
         Some(Command::Requests(f)) => capture::requests(&f.file),
         Some(Command::Replay(asked)) => capture::replay(&asked),
+        Some(Command::Registry(arguments)) => registry::run(&arguments),
         Some(Command::Sessions(command)) => sessions::run(command),
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for what lies outside: MySQL servers that replicate among themselves ([`fleet`]), and a network that can
-//! be cut ([`proxy`]). Scripted, on loopback, and deterministic where a test needs it.
+//! be cut ([`proxy`]), and a key-value registry ([`registry`]). Scripted, on loopback, and deterministic where a test needs it.
 pub mod fleet;
 pub mod proxy;
+pub mod registry;
 pub mod wire;
