Test the registry client on the real program, over TLS too, and change nodes by command

Need: breaks, compactions, silent watches and restored backups have to be caused to be believed.

Change: 18 tests with a stand-in registry and servers that count what they are asked; damsonvale registry watch|get|put|drain|undrain|let-go. A watch that had missed something led from one muted member to the next, each of which only went on from where the last one was: what a watch is found to have missed is now read whole wherever it goes on.

--- a/registry/src/client.rs
+++ b/registry/src/client.rs
@@ -34,13 +34,16 @@
 }
 
 /// Who hears of what the registry says besides the nodes.
-pub struct Heeds {
+pub trait Heeds: Send + Sync {
     /// The text of the configuration key, or nothing where there is none; an error names what is wrong with it.
-    pub config: Box<dyn Fn(Option<&str>) -> Result<(), String> + Send + Sync>,
-    /// The routers that are registered.
-    pub routers: Box<dyn Fn(&BTreeMap<String, Router>) + Send + Sync>,
+    fn config(&self, text: Option<&str>) -> Result<(), String>;
+    /// The routers that are registered, by name.
+    fn routers(&self, known: &BTreeMap<String, Router>);
 }
 
+/// A list of keys, and the index at which it stood.
+type Listed = (Revision, Vec<Item>);
+
 /// A dialect, and the member it is spoken with.
 pub enum Asks {
     /// etcd's.
@@ -161,7 +164,7 @@
     clock: Clock,
     list: ListHandle,
     answered: Arc<Answered>,
-    heeds: Heeds,
+    heeds: Arc<dyn Heeds>,
     inner: Mutex<Inner>,
     stopping: AtomicBool,
     lease: Mutex<Option<String>>,
@@ -177,7 +180,7 @@
         clock: Clock,
         list: ListHandle,
         answered: Arc<Answered>,
-        heeds: Heeds,
+        heeds: Arc<dyn Heeds>,
     ) -> Result<Arc<Client>, String> {
         let way = Way::new(&settings, limits).map_err(|e| format!("registry: tls: {e}"))?;
         let fleet = Fleet::new(FleetSettings {
@@ -368,6 +371,7 @@
                     // Something has changed and the watch has not brought it: once it may be on its way.
                     Ok(None) if !std::mem::replace(&mut doubted, true) => return true,
                     Ok(None) => {
+                        self.feed(machine, Event::Missed);
                         failed = Some("the watch is silent about changes that are there".to_string());
                         return false;
                     }
@@ -410,8 +414,7 @@
             _ = spawn("registry-health", self.limits.module_stack_bytes, ask);
             answers
         });
-        let (mut keys, mut nodes): (Option<(Revision, Vec<Item>)>, Option<(Revision, Vec<Item>)>) =
-            (None, None);
+        let (mut keys, mut nodes): (Option<Listed>, Option<Listed>) = (None, None);
         // With a service its own wait goes on meanwhile: the keys are asked for in short turns.
         let wait = if health.is_some() { self.way.quiet } else { self.way.wait };
         loop {
@@ -440,9 +443,9 @@
             let more = nodes.clone().unwrap_or_default();
             items.extend(more.1);
             let revision = index.max(more.0);
-            match self.feed(machine, Event::Snapshot { endpoint, cluster: 0, revision, items }) {
-                Next::Leave(why) => return Ok(Next::Leave(why)),
-                _ => {}
+            let event = Event::Snapshot { endpoint, cluster: 0, revision, items };
+            if let leave @ Next::Leave(_) = self.feed(machine, event) {
+                return Ok(leave);
             }
         }
     }
@@ -497,7 +500,7 @@
         let known = routers.then(|| inner.routers.clone());
         drop(inner);
         if let Some(known) = known {
-            (self.heeds.routers)(&known);
+            self.heeds.routers(&known);
         }
         if config {
             let key = format!("{}config/mysql", self.settings.prefix);
@@ -505,7 +508,7 @@
                 .items()
                 .find(|(k, _)| *k == key)
                 .map(|(_, v)| String::from_utf8_lossy(v).into_owned());
-            match (self.heeds.config)(text.as_deref()) {
+            match self.heeds.config(text.as_deref()) {
                 Ok(()) => tracing::info!("registry: {key} is followed"),
                 Err(e) => tracing::error!("registry: {key}: {e}; what it said before holds"),
             }
--- a/registry/src/machine.rs
+++ b/registry/src/machine.rs
@@ -83,6 +83,8 @@
     Progress(Endpoint, Revision),
     /// The revision to go on from is gone.
     Compacted(Endpoint),
+    /// Something has changed that no watch has brought: only a whole read tells what.
+    Missed,
 }
 
 /// Why a member is not followed.
@@ -237,7 +239,11 @@
                 self.revision = revision;
                 actions.push(Action::Settled(revision));
             }
-            Event::Compacted(endpoint) => actions.push(Action::Read(endpoint)),
+            Event::Compacted(endpoint) => {
+                self.doubts = true;
+                actions.push(Action::Read(endpoint));
+            }
+            Event::Missed => self.doubts = true,
         }
     }
 
--- a/registry/src/tls.rs
+++ b/registry/src/tls.rs
@@ -29,6 +29,9 @@
         let c = c.map_err(|e| read(&files.ca, "no authority", &e))?;
         roots.add(c).map_err(|e| read(&files.ca, "no authority", &e))?;
     }
+    if roots.is_empty() {
+        return Err(format!("{}: there is no authority in it", files.ca));
+    }
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let builder = ClientConfig::builder_with_provider(provider).with_safe_default_protocol_versions();
     let builder = builder.map_err(|e| e.to_string())?.with_root_certificates(roots);
--- a/registry/tests/machine.rs
+++ b/registry/tests/machine.rs
@@ -431,3 +431,13 @@
     let caught = (0..20).filter(|seed| run(*seed, 2000, 1).is_err()).count();
     assert_eq!(caught, 20);
 }
+
+#[test]
+fn what_a_watch_has_missed_is_read_wherever_it_goes_on() {
+    let mut m = following();
+    on(&mut m, 0, Event::Missed);
+    assert_eq!(on(&mut m, 0, stands(1, 10)), [Action::Read(1)]);
+    let a = item("a", "1", 3, 9);
+    assert_eq!(on(&mut m, 0, snapshot(1, 12, &[a])), [Action::Settled(12), Action::Watch(1, 13)]);
+    assert_eq!(on(&mut m, 0, stands(1, 12)), [Action::Watch(1, 13)]);
+}
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -87,29 +87,28 @@
         let reload = self.read(found.overlay.as_deref())?;
         Ok(self.follow(reload, &found))
     }
+}
 
-    fn heeds(self: Arc<Self>) -> Heeds {
-        let own = self.clone();
-        let config = move |text: Option<&str>| {
-            let mut found = own.found();
-            let reload = own.read(text)?;
-            found.overlay = text.map(str::to_string);
-            own.follow(reload, &found);
-            Ok(())
-        };
-        let routers = move |known: &BTreeMap<String, Router>| {
-            let Some(sessions) = &self.operator.sessions else { return };
-            let mut found = self.found();
-            let before = found.peers.clone();
-            let others = known.values().filter_map(|r| r.sessions).filter(|(n, _)| *n != sessions.instance);
-            found.peers.extend(others);
-            if found.peers != before
-                && let Ok(reload) = self.read(found.overlay.as_deref())
-            {
-                self.follow(reload, &found);
-            }
-        };
-        Heeds { config: Box::new(config), routers: Box::new(routers) }
+impl Heeds for Follows {
+    fn config(&self, text: Option<&str>) -> Result<(), String> {
+        let mut found = self.found();
+        let reload = self.read(text)?;
+        found.overlay = text.map(str::to_string);
+        self.follow(reload, &found);
+        Ok(())
+    }
+
+    fn routers(&self, known: &BTreeMap<String, Router>) {
+        let Some(sessions) = &self.operator.sessions else { return };
+        let mut found = self.found();
+        let before = found.peers.clone();
+        let others = known.values().filter_map(|r| r.sessions).filter(|(n, _)| *n != sessions.instance);
+        found.peers.extend(others);
+        if found.peers != before
+            && let Ok(reload) = self.read(found.overlay.as_deref())
+        {
+            self.follow(reload, &found);
+        }
     }
 }
 
@@ -177,8 +176,7 @@
     let registry = match operator.registry.clone().zip(answered) {
         None => None,
         Some((settings, answered)) => {
-            let heeds = follows.clone().heeds();
-            let client = Client::start(settings, &limits, clock, list, answered, heeds)?;
+            let client = Client::start(settings, &limits, clock, list, answered, follows.clone())?;
             let own = operator.sessions.as_ref().map(|s| (s.instance, s.listen));
             client.register(Router { addr: at, sessions: own, incarnation: clock.now().0 as u64 })?;
             Some(client)
--- a/standins/src/registry.rs
+++ b/standins/src/registry.rs
@@ -83,7 +83,7 @@
 pub struct Registry {
     state: Arc<Mutex<State>>,
     changed: Arc<Condvar>,
-    tls: Option<Arc<ServerConfig>>,
+    tls: Arc<Mutex<Option<Arc<ServerConfig>>>>,
 }
 
 trait Duplex: Read + Write + Send {
@@ -115,6 +115,7 @@
 impl Registry {
     /// Starts this many members, with TLS where it is given.
     pub fn start(members: usize, tls: Option<Arc<ServerConfig>>) -> Registry {
+        let tls = Arc::new(Mutex::new(tls));
         let registry = Registry { state: Arc::default(), changed: Arc::default(), tls };
         registry.state().contents.revision = 1;
         for index in 0..members {
@@ -159,6 +160,11 @@
         self.changed.notify_all();
     }
 
+    /// Takes other certificates for connections from now on.
+    pub fn set_tls(&self, tls: Arc<ServerConfig>) {
+        *self.tls.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = Some(tls);
+    }
+
     /// Breaks every connection to a member.
     pub fn break_connections(&self, member: usize) {
         let open = std::mem::take(&mut self.state().members[member].open);
@@ -271,10 +277,11 @@
             }
             state.members[member].open.push(socket.try_clone()?);
         }
-        let stream: Box<dyn Duplex> = match &self.tls {
+        let tls = self.tls.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone();
+        let stream: Box<dyn Duplex> = match tls {
             None => Box::new(socket),
             Some(config) => {
-                let connection = ServerConnection::new(config.clone()).map_err(io::Error::other)?;
+                let connection = ServerConnection::new(config).map_err(io::Error::other)?;
                 Box::new(StreamOwned::new(connection, socket))
             }
         };
--- /dev/null
+++ b/tests/registry.rs
@@ -0,0 +1,600 @@
+//! A registry followed by the real program, over stand-in servers that count what they are asked.
+mod common;
+use common::{Folder, LONG, Program};
+use mysql::prelude::Queryable;
+use mysql::{Conn, OptsBuilder};
+use standins::fleet::Fleet;
+use standins::registry::Registry;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+const PREFIX: &str = "/damsonvale/shop/";
+
+struct Site {
+    registry: Registry,
+    fleet: Fleet,
+    folder: Folder,
+    more: String,
+    sessions: String,
+}
+
+fn node(addr: SocketAddr, state: &str) -> String {
+    format!("{{\"addr\":\"{addr}\",\"state\":\"{state}\"}}")
+}
+
+impl Site {
+    /// A registry of this many members that names a primary and this many replicas.
+    fn new(members: usize, replicas: usize) -> Site {
+        Site::over(Registry::start(members, None), replicas)
+    }
+
+    fn over(registry: Registry, replicas: usize) -> Site {
+        let fleet = Fleet::start(&vec![Duration::ZERO; replicas], Duration::from_millis(5));
+        let site =
+            Site { registry, fleet, folder: Folder::new(), more: String::new(), sessions: String::new() };
+        (0..=replicas).for_each(|s| site.state(s, "in_service"));
+        site
+    }
+
+    fn key(&self, server: usize) -> String {
+        format!("{PREFIX}nodes/{}", self.fleet.servers()[server].0)
+    }
+
+    fn state(&self, server: usize, state: &str) {
+        self.registry.put(&self.key(server), &node(self.fleet.servers()[server].1, state));
+    }
+
+    fn file(&self, kind: &str) -> String {
+        let endpoints: Vec<String> = self.registry.addrs().iter().map(|a| format!("'{a}'")).collect();
+        let text = format!(
+            "[mysql]\nlisten = '127.0.0.1:0'\ndatabase = 'shop'\nserver_user = 'router'\nprobe = 'SELECT probe'\n\
+             [[mysql.user]]\nname = 'till'\npassword = 'secret'\n\
+             [[mysql.class]]\nname = 'any'\nfreshness = 'any'\neffect = 'safe'\naim_ms = 2000\ndeadline_ms = 4000\n\
+             [registry]\nkind = '{kind}'\nprefix = '{PREFIX}'\nendpoints = [{}]\n{}\n{}",
+            endpoints.join(", "),
+            self.more,
+            self.sessions
+        );
+        // A file of its own for each set of settings: a router that runs may read its own again.
+        let name = format!("router-{}.toml", self.sessions.len() + 1000 * self.more.len());
+        self.folder.write(&name, &text).to_str().unwrap().to_string()
+    }
+
+    fn start(&self, kind: &str) -> (Program, SocketAddr) {
+        let mut router = Program::start(&["serve", &self.file(kind)], &[]);
+        let addr = router.listening();
+        (router, addr)
+    }
+
+    /// Started, and every replica answers.
+    fn ready(&self, kind: &str) -> (Program, SocketAddr) {
+        let (router, addr) = self.start(kind);
+        let mut client = connect(addr).unwrap();
+        let replicas: Vec<String> = self.fleet.servers().into_iter().skip(1).map(|s| s.0).collect();
+        replicas.iter().for_each(|r| until_by(&mut client, r));
+        (router, addr)
+    }
+
+    fn command(&self, kind: &str, words: &[&str]) -> (Option<i32>, String, String) {
+        let mut program = Program::start(&[&["registry", &self.file(kind)], words].concat(), &[]);
+        program.child.wait().unwrap();
+        let log = program.log.iter().collect::<Vec<_>>().join("\n");
+        let (code, out) = program.ended();
+        (code, out, log)
+    }
+}
+
+fn connect(addr: SocketAddr) -> mysql::Result<Conn> {
+    let at = OptsBuilder::new().ip_or_hostname(Some("127.0.0.1")).tcp_port(addr.port()).prefer_socket(false);
+    Conn::new(at.user(Some("till")).pass(Some("secret")).db_name(Some("shop")))
+}
+
+/// Reads; who answered.
+fn by(client: &mut Conn) -> mysql::Result<String> {
+    let row: Option<(String, String)> =
+        client.query_first("SELECT n FROM basket WHERE k = 'x' /* c=any */")?;
+    Ok(row.unwrap().1)
+}
+
+/// Reads until this one has answered.
+fn until_by(client: &mut Conn, server: &str) {
+    let begun = Instant::now();
+    while by(client).ok().as_deref() != Some(server) {
+        assert!(begun.elapsed() < LONG, "{server} never answers");
+    }
+}
+
+/// Reads on several connections until it is dropped.
+struct Load(Arc<AtomicBool>, Vec<std::thread::JoinHandle<()>>);
+
+impl Load {
+    fn start(addr: SocketAddr) -> Load {
+        let done = Arc::new(AtomicBool::new(false));
+        let reader = |_| {
+            let done = done.clone();
+            std::thread::spawn(move || {
+                let mut client = connect(addr).unwrap();
+                while !done.load(Ordering::Relaxed) {
+                    _ = by(&mut client);
+                }
+            })
+        };
+        let threads = (0..4).map(reader).collect();
+        Load(done, threads)
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+        self.1.drain(..).for_each(|t| _ = t.join());
+    }
+}
+
+/// Under load, a server gets nothing new from 250 ms after the router's news on, while others go on.
+fn gets_nothing_new(site: &Site, server: usize, other: usize) {
+    std::thread::sleep(Duration::from_millis(250));
+    let (before, others) = (site.fleet.counts(server).reads, site.fleet.counts(other).reads);
+    let begun = Instant::now();
+    while site.fleet.counts(other).reads < others + 50 {
+        assert!(begun.elapsed() < LONG);
+    }
+    assert_eq!(site.fleet.counts(server).reads, before);
+}
+
+#[test]
+fn nodes_come_drain_and_go_with_their_keys() {
+    for kind in ["etcd", "consul"] {
+        let site = Site::new(1, 2);
+        let (mut router, addr) = site.ready(kind);
+        let load = Load::start(addr);
+        site.state(1, "draining");
+        router.logged("names 3 instances, 2 in service");
+        gets_nothing_new(&site, 1, 2);
+        site.state(1, "in_service");
+        let mut client = connect(addr).unwrap();
+        until_by(&mut client, "replica-1");
+        site.registry.delete(&site.key(1));
+        router.logged("names 2 instances, 2 in service");
+        gets_nothing_new(&site, 1, 2);
+        // A key that says it is gone, while it stands, is the same.
+        site.state(1, "in_service");
+        until_by(&mut client, "replica-1");
+        site.state(1, "gone");
+        gets_nothing_new(&site, 1, 2);
+        drop(load);
+    }
+}
+
+#[test]
+fn a_break_over_which_the_revision_is_compacted_loses_no_drain() {
+    let site = Site::new(1, 2);
+    let (mut router, addr) = site.ready("etcd");
+    let load = Load::start(addr);
+    site.registry.faults(0, |f| f.down = true);
+    site.registry.break_connections(0);
+    router.logged("registry: 127.0.0.1");
+    site.state(1, "draining");
+    site.registry.put("/elsewhere", "x");
+    site.registry.compact();
+    site.registry.faults(0, |f| f.down = false);
+    router.logged("has been compacted away: reading everything anew");
+    router.logged("names 3 instances, 2 in service");
+    gets_nothing_new(&site, 1, 2);
+    drop(load);
+}
+
+#[test]
+fn a_node_made_again_under_its_name_is_another_one() {
+    let site = Site::new(1, 2);
+    let (mut router, addr) = site.ready("etcd");
+    site.registry.faults(0, |f| f.down = true);
+    site.registry.break_connections(0);
+    // The name of the first replica, now at an address that serves nothing for it: the second one's.
+    let (key, value) = (site.key(1), node(site.fleet.servers()[2].1, "in_service"));
+    site.registry.delete(&key);
+    site.registry.put(&key, &value);
+    site.registry.delete(&site.key(2));
+    site.registry.compact();
+    let load = Load::start(addr);
+    site.registry.faults(0, |f| f.down = false);
+    router.logged("names 2 instances, 2 in service");
+    gets_nothing_new(&site, 1, 2);
+    drop(load);
+}
+
+#[test]
+fn a_watch_that_is_silent_while_its_connection_stands_is_found_out() {
+    let site = Site::new(2, 2);
+    let (mut router, addr) = site.ready("etcd");
+    let load = Load::start(addr);
+    (0..2).for_each(|m| site.registry.faults(m, |f| f.mute = true));
+    site.state(1, "draining");
+    router.logged("the watch is silent about changes that are there");
+    router.logged("names 3 instances, 2 in service");
+    gets_nothing_new(&site, 1, 2);
+    // A member that answers nothing at all is left for the other one.
+    site.registry.faults(1, |f| f.mute = false);
+    site.registry.faults(0, |f| f.silent = true);
+    site.state(1, "in_service");
+    until_by(&mut connect(addr).unwrap(), "replica-1");
+    drop(load);
+}
+
+#[test]
+fn members_that_lag_or_belong_elsewhere_are_not_followed() {
+    let site = Site::new(3, 2);
+    let (mut router, addr) = site.ready("etcd");
+    let at = site.registry.revision();
+    site.state(1, "draining");
+    router.logged("names 3 instances, 2 in service");
+    // Two of three say what was so before the drain, or what another cluster says; the third has it right.
+    site.registry.faults(0, |f| f.stands_at = Some(at));
+    site.registry.faults(1, |f| f.cluster = Some(4));
+    let load = Load::start(addr);
+    for _ in 0..3 {
+        let watches = site.registry.watches(2);
+        (0..3).for_each(|m| site.registry.break_connections(m));
+        let begun = Instant::now();
+        while site.registry.watches(2) == watches {
+            assert!(begun.elapsed() < LONG);
+        }
+    }
+    gets_nothing_new(&site, 1, 2);
+    drop(load);
+}
+
+#[test]
+fn a_registry_restored_from_a_backup_keeps_what_was_drained() {
+    let mut site = Site::new(1, 3);
+    site.more = "restored_after_s = 0.3".into();
+    let (mut router, addr) = site.ready("etcd");
+    let backup = site.registry.backup();
+    site.state(1, "draining");
+    site.registry.delete(&site.key(2));
+    router.logged("names 3 instances, 2 in service");
+    site.registry.restore(backup);
+    site.registry.break_connections(0);
+    router.logged("as if restored from a backup");
+    router.logged("names 4 instances, 2 in service");
+    let load = Load::start(addr);
+    gets_nothing_new(&site, 1, 3);
+    gets_nothing_new(&site, 2, 3);
+    // What is set anew from then on counts.
+    site.state(1, "in_service");
+    until_by(&mut connect(addr).unwrap(), "replica-1");
+    drop(load);
+}
+
+#[test]
+fn half_lines_repeats_and_wrong_orders_leave_the_registrys_list() {
+    let site = Site::new(2, 2);
+    let (mut router, addr) = site.ready("etcd");
+    let many = |from: u16, n: u16| {
+        site.registry.together(|c| {
+            for k in from..from + n {
+                let value = node(([127, 0, 0, 1], k).into(), "draining");
+                c.put(&format!("{PREFIX}nodes/extra-{k}"), value.into_bytes(), None);
+            }
+        });
+    };
+    (0..2).for_each(|m| site.registry.faults(m, |f| f.cut_line = true));
+    many(1, 10);
+    router.logged("names 13 instances, 3 in service");
+    (0..2).for_each(|m| site.registry.faults(m, |f| f.twice = true));
+    many(11, 10);
+    router.logged("names 23 instances, 3 in service");
+    (0..2).for_each(|m| site.registry.faults(m, |f| (f.twice, f.reorder) = (false, true)));
+    many(21, 10);
+    router.logged("names 33 instances, 3 in service");
+    (0..2).for_each(|m| site.registry.faults(m, |f| f.reorder = false));
+    until_by(&mut connect(addr).unwrap(), "replica-2");
+}
+
+#[test]
+fn a_faulty_key_disturbs_no_other_and_networks_are_kept() {
+    let mut site = Site::new(1, 2);
+    site.more = "deny = ['127.7.0.0/16']".into();
+    let (mut router, addr) = site.ready("etcd");
+    for (value, why) in [
+        ("{\"addr\":\"db-1:1\"}", "invalid socket address"),
+        ("{\"addr\":\"127.7.0.1:1\"}", "not in a network that may be connected to"),
+    ] {
+        site.registry.put(&site.key(1), value);
+        let line = router.logs_next("nodes/replica-1: ");
+        assert!(line.contains(why) && line.contains("what it said before holds"), "{line}");
+        until_by(&mut connect(addr).unwrap(), "replica-1");
+    }
+    site.state(2, "draining");
+    router.logged("names 3 instances, 2 in service");
+}
+
+#[test]
+fn a_registry_that_empties_is_held_back_until_an_operator_says_so() {
+    let site = Site::new(1, 3);
+    let (mut router, addr) = site.ready("etcd");
+    site.registry.together(|c| {
+        for s in site.fleet.servers() {
+            c.delete(&format!("{PREFIX}nodes/{}", s.0));
+        }
+    });
+    router.logged("vanished at once: they are held");
+    assert!(by(&mut connect(addr).unwrap()).is_ok());
+    assert_eq!(site.command("etcd", &["let-go"]).0, Some(0));
+    router.logged("that had vanished are let go");
+    router.logged("names 0 instances, 0 in service");
+}
+
+#[test]
+fn old_news_keeps_to_nodes_that_answer() {
+    let mut site = Site::new(1, 2);
+    site.more = "fresh_s = 0.6\nlast_s = 60".into();
+    let (mut router, addr) = site.ready("etcd");
+    let load = Load::start(addr);
+    site.registry.faults(0, |f| f.down = true);
+    site.registry.break_connections(0);
+    router.logged("used as KnownGood only");
+    // Those that answer go on; the primary, which nobody asked, gets nothing new until the registry is back.
+    gets_nothing_new(&site, 0, 1);
+    site.registry.faults(0, |f| f.down = false);
+    router.logged("the list is fresh again");
+    drop(load);
+}
+
+#[test]
+fn without_a_registry_a_start_uses_the_last_list() {
+    let mut site = Site::new(1, 1);
+    site.more = format!("folder = '{}'", site.folder.0.join("kept").display());
+    let (router, _) = site.ready("etcd");
+    let kept = site.folder.0.join("kept/registry");
+    let begun = Instant::now();
+    while !kept.exists() {
+        assert!(begun.elapsed() < LONG);
+    }
+    drop(router);
+    site.registry.faults(0, |f| f.down = true);
+    site.registry.break_connections(0);
+    let (mut router, addr) = site.start("etcd");
+    router.logged("using the last list of 2 keys");
+    until_by(&mut connect(addr).unwrap(), "replica-1");
+    // What has gone meanwhile goes as soon as the registry answers.
+    site.registry.delete(&site.key(1));
+    site.registry.faults(0, |f| f.down = false);
+    router.logged("names 1 instances, 1 in service");
+    drop(router);
+    // A file that is not whole is refused, and the start goes on without it.
+    std::fs::write(&kept, b"DVREGI\x01\nhalf").unwrap();
+    let (mut router, _) = site.start("etcd");
+    router.logged("the last list is not used");
+    router.logged("names 1 instances, 1 in service");
+}
+
+#[test]
+fn a_router_registers_itself_and_gives_that_up_when_it_ends() {
+    for kind in ["etcd", "consul"] {
+        let mut site = Site::new(2, 1);
+        site.more = "register = 'router-1'\nttl_s = 1".into();
+        let (mut router, addr) = site.ready(kind);
+        let key = format!("{PREFIX}routers/router-1");
+        let registered = |wanted: bool| {
+            let begun = Instant::now();
+            while site.registry.all().contains_key(&key) != wanted {
+                assert!(begun.elapsed() < LONG, "registered: {}", !wanted);
+            }
+        };
+        registered(true);
+        assert!(site.registry.all()[&key].contains(&addr.to_string()));
+        // Paused for longer than its lease, it is gone; going on, it hears of the drain and registers anew.
+        router.signal("-STOP");
+        site.registry.end_leases();
+        registered(false);
+        site.state(1, "draining");
+        router.signal("-CONT");
+        router.logged("names 2 instances, 1 in service");
+        router.logged("the lease was lost; registering anew");
+        registered(true);
+        router.terminate();
+        router.logged("registration given up");
+        registered(false);
+        assert_eq!(router.ended().0, Some(0));
+    }
+}
+
+#[test]
+fn configuration_in_the_registry_is_followed_and_a_faulty_one_changes_nothing() {
+    let site = Site::new(1, 1);
+    let (mut router, addr) = site.ready("etcd");
+    let at = OptsBuilder::new().ip_or_hostname(Some("127.0.0.1")).tcp_port(addr.port()).prefer_socket(false);
+    let cook = || Conn::new(at.clone().user(Some("cook")).pass(Some("salt")));
+    let key = format!("{PREFIX}config/mysql");
+    assert!(cook().is_err());
+    site.registry.put(&key, "[[mysql.user]]\nname = 'cook'\npassword = 'salt'\n");
+    router.logged("config/mysql is followed");
+    assert!(cook().is_ok() && connect(addr).is_err());
+    for (bad, why) in [
+        ("[[mysql.user]]\nname = 7\n", "expected text in 'name'"),
+        ("[mysql]\nlisten = 'x'\n", "the key 'listen' is not known"),
+        ("[store]\n", "the key 'store' is not known"),
+    ] {
+        site.registry.put(&key, bad);
+        let line = router.logs_next("config/mysql: ");
+        assert!(line.contains(why) && line.contains("what it said before holds"), "{line}");
+        assert!(cook().is_ok());
+    }
+    // SIGHUP reads the file and leaves the registry's word in force; without the key the file holds again.
+    router.signal("-HUP");
+    router.logs_next("the configuration is followed");
+    assert!(cook().is_ok());
+    site.registry.delete(&key);
+    router.logs_next("config/mysql is followed");
+    assert!(cook().is_err() && connect(addr).is_ok());
+}
+
+#[test]
+fn instances_find_each_other_in_the_registry() {
+    let mut site = Site::new(1, 1);
+    let held: Vec<_> = (0..2).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let ports: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().unwrap()).collect();
+    drop(held);
+    let mut routers = Vec::new();
+    for (n, at) in ports.iter().enumerate() {
+        site.more = format!("register = 'router-{n}'");
+        site.sessions = format!("[sessions]\ninstance = {}\nlisten = '{at}'{}\n", n + 1, " ".repeat(n));
+        routers.push(site.ready("etcd"));
+    }
+    for (n, (router, _)) in routers.iter_mut().enumerate() {
+        router.logged(&format!("peer {} takes our commits", 2 - n));
+    }
+}
+
+#[test]
+fn a_token_that_has_run_out_is_asked_for_anew() {
+    let mut site = Site::new(1, 1);
+    site.registry.wants_user("router", "secret");
+    site.more = "user = 'router'\npassword = 'secret'".into();
+    let (mut router, _) = site.ready("etcd");
+    site.registry.wants_user("router", "secret");
+    let watches = site.registry.watches(0);
+    site.registry.break_connections(0);
+    let begun = Instant::now();
+    while site.registry.watches(0) == watches {
+        assert!(begun.elapsed() < LONG);
+    }
+    site.state(1, "draining");
+    router.logged("names 2 instances, 1 in service");
+    site.more = "user = 'router'\npassword = 'wrong'".into();
+    let (mut router, _) = site.start("etcd");
+    router.logged("authentication failed");
+}
+
+#[test]
+fn consul_health_makes_nodes_and_failing_checks_drain() {
+    let mut site = Site::new(1, 2);
+    (0..3).for_each(|s| _ = site.registry.delete(&site.key(s)));
+    site.more = "service = 'shop-db'".into();
+    let instances = |failing: usize| {
+        let servers = site.fleet.servers();
+        let one = |(n, (name, addr)): (usize, &(String, SocketAddr))| {
+            let status = if n == failing { "critical" } else { "passing" };
+            format!(
+                "{{\"Node\":{{\"Address\":\"127.0.0.9\"}},\"Service\":{{\"ID\":\"{name}\",\"Address\":\"{}\",\"Port\":{},\
+                 \"Meta\":{{\"group\":\"0\"}},\"Weights\":{{\"Passing\":1}},\"CreateIndex\":5,\"ModifyIndex\":5}},\
+                 \"Checks\":[{{\"Status\":\"{status}\"}}]}}",
+                addr.ip(),
+                addr.port()
+            )
+        };
+        let all: Vec<String> = servers.iter().enumerate().map(one).collect();
+        serde_json::from_str(&format!("[{}]", all.join(","))).unwrap()
+    };
+    site.registry.service("shop-db", instances(9));
+    let (mut router, addr) = site.ready("consul");
+    let load = Load::start(addr);
+    site.registry.service("shop-db", instances(1));
+    router.logged("names 3 instances, 2 in service");
+    gets_nothing_new(&site, 1, 2);
+    site.registry.service("shop-db", instances(9));
+    until_by(&mut connect(addr).unwrap(), "replica-1");
+    drop(load);
+}
+
+#[test]
+fn operators_look_and_change_by_command() {
+    for kind in ["etcd", "consul"] {
+        let site = Site::new(1, 1);
+        let (code, out, _) = site.command(kind, &["get", "nodes/"]);
+        assert!(code == Some(0) && out.lines().count() == 2, "{out}");
+        assert_eq!(site.command(kind, &["drain", "replica-1"]).0, Some(0));
+        assert!(site.registry.all()[&site.key(1)].contains("draining"));
+        assert_eq!(site.command(kind, &["undrain", "replica-1"]).0, Some(0));
+        assert!(site.registry.all()[&site.key(1)].contains("in_service"));
+        assert!(site.command(kind, &["drain", "none"]).2.contains("there is no"));
+        assert!(site.command(kind, &["put", "nodes/x", "{}"]).2.contains("missing field `addr`"));
+        assert_eq!(site.command(kind, &["put", "nodes/x", "{\"addr\":\"127.0.0.1:5\"}"]).0, Some(0));
+        assert!(site.registry.all().contains_key(&format!("{PREFIX}nodes/x")));
+        let mut watch = Program::start(&["registry", &site.file(kind), "watch", "--changes", "1"], &[]);
+        if kind == "etcd" {
+            let begun = Instant::now();
+            while site.registry.watches(0) == 0 {
+                assert!(begun.elapsed() < LONG);
+            }
+        }
+        let key = site.key(1);
+        let begun = Instant::now();
+        while watch.child.try_wait().unwrap().is_none() {
+            // A change may come before a query that waits for one: another one follows.
+            site.registry.put(&key, "changed");
+            assert!(begun.elapsed() < LONG);
+        }
+        assert!(watch.ended().1.contains("changed"));
+    }
+}
+
+/// An authority, with a server's configuration that wants a certificate of it, and its files for a router.
+fn authority(folder: &Folder) -> Arc<rustls::ServerConfig> {
+    use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+    let mut of_ca = CertificateParams::new(vec![]).unwrap();
+    of_ca.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let ca_key = KeyPair::generate().unwrap();
+    let ca = of_ca.self_signed(&ca_key).unwrap();
+    let issuer = Issuer::new(of_ca, ca_key);
+    let signed = || {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec!["127.0.0.1".into()]).unwrap();
+        (params.signed_by(&key, &issuer).unwrap(), key)
+    };
+    let (server, server_key) = signed();
+    let (client, client_key) = signed();
+    folder.write("ca.pem", &ca.pem());
+    folder.write("cert.pem", &client.pem());
+    folder.write("key.pem", &client_key.serialize_pem());
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut roots = rustls::RootCertStore::empty();
+    roots.add(ca.der().clone()).unwrap();
+    let wants = rustls::server::WebPkiClientVerifier::builder_with_provider(roots.into(), provider.clone());
+    let key = rustls::pki_types::PrivateKeyDer::try_from(server_key.serialize_der()).unwrap();
+    let config = rustls::ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .unwrap()
+        .with_client_cert_verifier(wants.build().unwrap())
+        .with_single_cert(vec![server.der().clone()], key)
+        .unwrap();
+    Arc::new(config)
+}
+
+#[test]
+fn tls_wants_the_right_authority_on_both_sides_and_follows_its_files() {
+    let folder = Folder::new();
+    let mut site = Site::over(Registry::start(1, Some(authority(&folder))), 1);
+    let files = |cert: bool| {
+        let of = |name: &str| folder.0.join(name).display().to_string();
+        let own = format!("cert = '{}'\nkey = '{}'\n", of("cert.pem"), of("key.pem"));
+        format!("[registry.tls]\nca = '{}'\n{}", of("ca.pem"), if cert { own } else { String::new() })
+    };
+    // Without a certificate of its own it is turned away.
+    site.more = files(false);
+    let (mut stranger, _) = site.start("etcd");
+    stranger.logged("registry: 127.0.0.1");
+    drop(stranger);
+    site.more = files(true);
+    let (mut router, _) = site.ready("etcd");
+    // A file that is no certificate leaves the old ones in force.
+    folder.write("cert.pem", "nothing");
+    site.registry.break_connections(0);
+    router.logged("the old certificates stay");
+    site.state(1, "draining");
+    router.logged("names 2 instances, 1 in service");
+    // Another authority on both sides, while the router runs.
+    site.registry.set_tls(authority(&folder));
+    site.registry.break_connections(0);
+    router.logged("certificates read anew");
+    site.state(1, "in_service");
+    router.logs_next("names 2 instances, 2 in service");
+    let path = site.file("etcd");
+    folder.write("ca.pem", "nothing");
+    let mut faulty = Program::start(&["serve", &path], &[]);
+    faulty.logged("registry: tls: ");
+    assert_eq!(faulty.ended().0, Some(1));
+}
