--- a/routing/src/module.rs
+++ b/routing/src/module.rs
@@ -116,7 +116,23 @@
 struct Peer<W: Wire> {
     name: String,
     addr: SocketAddr,
-    mailbox: Sender<PeerMessage<W>>,
+    in_service: bool,
+    /// Its actor begins with the first work for it: of a long list, most instances are never asked here.
+    actor: Option<Sender<PeerMessage<W>>>,
+}
+
+impl<W: Wire> Peer<W> {
+    /// Tells its actor, if it has begun.
+    fn tell(&self, message: PeerMessage<W>) {
+        if let Some(actor) = &self.actor {
+            _ = actor.try_send(message);
+        }
+    }
+
+    fn in_service(&mut self, yes: bool) {
+        self.in_service = yes;
+        self.tell(PeerMessage::InService(yes));
+    }
 }
 
 struct Known<W: Wire> {
@@ -217,7 +233,7 @@
                 self.feed(Event::Probed { member, outcome, report });
             }
             Message::Crowded => {
-                self.members.values().for_each(|m| _ = m.mailbox.try_send(PeerMessage::Trim));
+                self.members.values().for_each(|m| m.tell(PeerMessage::Trim));
             }
             Message::List(news) => self.list(news),
         }
@@ -242,37 +258,29 @@
 
     fn list(&mut self, news: ListNews) {
         let named: HashSet<&str> = news.entries.iter().map(|e| e.id.as_str()).collect();
-        for m in self.members.values().filter(|m| news.complete && !named.contains(m.name.as_str())) {
-            _ = m.mailbox.try_send(PeerMessage::InService(false));
+        for m in self.members.values_mut().filter(|m| news.complete && !named.contains(m.name.as_str())) {
+            m.in_service(false);
         }
-        let entries = news.entries.iter().filter_map(|e| {
+        let entries = news.entries.iter().map(|e| {
             let known = self.ids.get(&e.id).copied();
             // An instance that is listed elsewhere now gets a peer of its own; the old one ends its work.
             let moved = known.is_some_and(|id| self.members.get(&id).is_some_and(|m| m.addr != e.addr));
             if moved && let Some(old) = known.and_then(|id| self.members.remove(&id)) {
-                _ = old.mailbox.try_send(PeerMessage::Forgotten);
+                old.tell(PeerMessage::Forgotten);
             }
             let id = known.unwrap_or_else(|| {
                 self.next_member += 1;
                 MemberId(self.next_member)
             });
-            if e.state != MemberState::Gone && !self.members.contains_key(&id) {
-                let (wire, limits) = (self.wire.clone(), self.limits.clone());
-                match peer::start(wire, id, e.addr, limits, self.own.clone(), self.links.clone()) {
-                    Ok(mailbox) => {
-                        self.members.insert(id, Peer { name: e.id.clone(), addr: e.addr, mailbox });
-                    }
-                    Err(error) => {
-                        tracing::error!("list: no thread for instance {}: {error}", e.id);
-                        return None;
-                    }
-                }
+            if e.state != MemberState::Gone {
+                let peer = || Peer { name: e.id.clone(), addr: e.addr, in_service: true, actor: None };
+                self.members.entry(id).or_insert_with(peer);
             }
             self.ids.insert(e.id.clone(), id);
-            if let Some(m) = self.members.get(&id) {
-                _ = m.mailbox.try_send(PeerMessage::InService(e.state == MemberState::Ready));
+            if let Some(m) = self.members.get_mut(&id) {
+                m.in_service(e.state == MemberState::Ready);
             }
-            Some(MemberEntry {
+            MemberEntry {
                 id,
                 group: e.group,
                 zone: e.zone,
@@ -280,7 +288,7 @@
                 listed_primary: e.primary,
                 weight: e.weight,
                 started: e.started,
-            })
+            }
         });
         let entries = entries.collect();
         self.feed(Event::Members { complete: news.complete, entries });
@@ -308,7 +316,7 @@
         let known = self.requests.get(&id)?;
         let &(_, member) = known.out.iter().find(|(n, _)| *n == attempt)?;
         if let Some(m) = self.members.get(&member) {
-            _ = m.mailbox.try_send(PeerMessage::Abandon((id, attempt)));
+            m.tell(PeerMessage::Abandon((id, attempt)));
         }
         Some(((id, attempt), member))
     }
@@ -344,8 +352,7 @@
                 self.answer(request, Final::Failed(last));
             }
             Action::Probe { member } => {
-                let told = self.members.get(&member).map(|m| m.mailbox.try_send(PeerMessage::Probe));
-                if !matches!(told, Some(Ok(()))) {
+                if !self.hand(member, PeerMessage::Probe) {
                     let (outcome, report) = (Outcome::Moot, Report::default());
                     self.later(Message::Probed { member, outcome, report });
                 }
@@ -357,7 +364,7 @@
             Action::Subscribe => {}
             Action::Forget { member } => {
                 if let Some(m) = self.members.remove(&member) {
-                    _ = m.mailbox.try_send(PeerMessage::Forgotten);
+                    m.tell(PeerMessage::Forgotten);
                     self.ids.remove(&m.name);
                 } else {
                     self.ids.retain(|_, id| *id != member);
@@ -366,6 +373,23 @@
         }
     }
 
+    /// Hands work to an instance's actor, which begins with the first; `false` where it can't be.
+    fn hand(&mut self, member: MemberId, work: PeerMessage<W>) -> bool {
+        let Some(m) = self.members.get_mut(&member) else { return false };
+        if m.actor.is_none() {
+            let (wire, limits, links) = (self.wire.clone(), self.limits.clone(), self.links.clone());
+            match peer::start(wire, member, m.addr, limits, self.own.clone(), links) {
+                Ok(actor) => {
+                    m.actor = Some(actor);
+                    let in_service = m.in_service;
+                    m.in_service(in_service);
+                }
+                Err(e) => tracing::error!("list: no thread for instance {}: {e}", m.name),
+            }
+        }
+        m.actor.as_ref().is_some_and(|actor| actor.try_send(work).is_ok())
+    }
+
     fn send(&mut self, request: RequestId, member: MemberId, timeout: Micros) {
         let Some(k) = self.requests.get_mut(&request) else { return };
         let key = (request, k.sent);
@@ -374,9 +398,10 @@
         let at = Time(self.clock.now().0 + timeout);
         let until = self.clock.instant(at);
         let attempt = PeerMessage::Attempt(key, k.payload.clone(), until);
-        match self.members.get(&member).map(|m| m.mailbox.try_send(attempt)) {
-            Some(Ok(())) => self.timers.push(Reverse((at, Due::Attempt(request, key.1)))),
-            _ => self.later(Message::Ended { key, member, reply: Reply::bare(Outcome::Moot) }),
+        if self.hand(member, attempt) {
+            self.timers.push(Reverse((at, Due::Attempt(request, key.1))));
+        } else {
+            self.later(Message::Ended { key, member, reply: Reply::bare(Outcome::Moot) });
         }
     }
 
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Microseconds of Unix time.
 pub type Micros = i64;
@@ -33,6 +33,7 @@
     holds_answers: bool,
     open: Vec<TcpStream>,
     reads: usize,
+    last_read: Option<Instant>,
     writes: usize,
     probes: usize,
 }
@@ -105,6 +106,7 @@
             holds_answers: false,
             open: Vec::new(),
             reads: 0,
+            last_read: None,
             writes: 0,
             probes: 0,
         });
@@ -180,6 +182,11 @@
         Counts { reads: s.reads, writes: s.writes, probes: s.probes }
     }
 
+    /// When a server was last asked for a read.
+    pub fn last_read(&self, server: usize) -> Option<Instant> {
+        self.world().servers[server].last_read
+    }
+
     fn talk(&self, index: usize, mut socket: &TcpStream) -> io::Result<()> {
         socket.set_nodelay(true)?;
         // One that is gone accepts no one.
@@ -227,6 +234,7 @@
         if sql.starts_with("SELECT") {
             let s = &mut world.servers[index];
             s.reads += 1;
+            s.last_read = Some(Instant::now());
             let (name, shown) = (s.name.clone(), s.applied(now()));
             let items = world.log.get(*key).map(Vec::as_slice).unwrap_or_default();
             let newest = items.iter().filter(|(at, _)| *at <= shown).map(|(_, n)| *n).max().unwrap_or(0);
--- a/standins/src/registry.rs
+++ b/standins/src/registry.rs
@@ -177,6 +177,11 @@
         self.state().members[member].watches
     }
 
+    /// Reads answered so far, by all members.
+    pub fn reads(&self) -> usize {
+        self.state().reads
+    }
+
     /// Wants a user and a password from now on; tokens given before are worth nothing.
     pub fn wants_user(&self, name: &str, password: &str) {
         let mut state = self.state();
@@ -482,6 +487,7 @@
         if let Some(key) = rest.strip_prefix("kv/") {
             let key = format!("/{key}");
             if r.method == "GET" {
+                self.state().reads += 1;
                 return self.blocking(member, r, |state| {
                     let items = state.contents.held.iter().filter(|(k, _)| k.starts_with(&key));
                     let list: Vec<Value> = items
