--- a/registry/src/client.rs
+++ b/registry/src/client.rs
@@ -29,6 +29,9 @@
     pub addr: SocketAddr,
     /// Its number among the instances that share sessions, and where it takes peers.
     pub sessions: Option<(u64, SocketAddr)>,
+    /// Its node of the store, and where that listens.
+    #[serde(default)]
+    pub store: Option<(u64, SocketAddr)>,
     /// This start of it.
     pub incarnation: u64,
 }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -49,6 +49,7 @@
     operator: Operator,
     front: Arc<Front>,
     sessions: Arc<Sessions>,
+    store: store::Store,
     found: Mutex<Found>,
 }
 
@@ -99,6 +100,7 @@
     }
 
     fn routers(&self, known: &BTreeMap<String, Router>) {
+        known.values().filter_map(|r| r.store).for_each(|(node, addr)| self.store.moved(node, addr));
         let Some(sessions) = &self.operator.sessions else { return };
         let mut found = self.found();
         let before = found.peers.clone();
@@ -153,6 +155,7 @@
             list.tell(members(state));
         }
     })?;
+    let own_store = store.clone();
     if let Some(at) = operator_store.control {
         let listener = TcpListener::bind(&at).map_err(|e| format!("control: {at}: {e}"))?;
         let at = listener.local_addr().map_err(|e| format!("control: {e}"))?;
@@ -171,6 +174,7 @@
         operator: operator.clone(),
         front: front.clone(),
         sessions: sessions.clone(),
+        store: own_store,
         found: Mutex::default(),
     });
     let registry = match operator.registry.clone().zip(answered) {
@@ -178,7 +182,10 @@
         Some((settings, answered)) => {
             let client = Client::start(settings, &limits, clock, list, answered, follows.clone())?;
             let own = operator.sessions.as_ref().map(|s| (s.instance, s.listen));
-            client.register(Router { addr: at, sessions: own, incarnation: clock.now().0 as u64 })?;
+            let of_store = &operator.store;
+            let store = of_store.peers.get(&of_store.node).filter(|a| a.port() != 0);
+            let store = store.map(|addr| (of_store.node, *addr));
+            client.register(Router { addr: at, sessions: own, store, incarnation: clock.now().0 as u64 })?;
             Some(client)
         }
     };
--- a/store/src/node.rs
+++ b/store/src/node.rs
@@ -48,6 +48,7 @@
     Peer(Box<Message>),
     Change(Change, Reply),
     Status(Sender<(u64, u64)>),
+    Moved(u64, SocketAddr),
 }
 
 /// A node's handle.
@@ -68,6 +69,11 @@
         made.recv().unwrap_or(Err(Refused::Unconfirmed))
     }
 
+    /// A node of the cluster listens elsewhere from now on. Who belongs to it stays as it is set up.
+    pub fn moved(&self, node: u64, addr: SocketAddr) {
+        _ = self.to.try_send(Mail::Moved(node, addr));
+    }
+
     /// The last committed values that this node knows.
     pub fn state(&self) -> State {
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
@@ -228,6 +234,7 @@
                     }
                 }
                 Ok(Mail::Change(change, reply)) => self.propose(change, reply),
+                Ok(Mail::Moved(node, addr)) => self.moved(node, addr),
                 Ok(Mail::Status(reply)) => {
                     _ = reply.try_send((self.raft.raft.leader_id, self.raft.raft.term))
                 }
@@ -247,6 +254,22 @@
         }
     }
 
+    fn moved(&mut self, node: u64, addr: SocketAddr) {
+        let known = self.settings.peers.get(&node);
+        if node == self.settings.node || known.is_none_or(|a| *a == addr) {
+            return;
+        }
+        match way_to(addr) {
+            Ok(way) => {
+                // The old way's thread ends with its sender.
+                self.ways.insert(node, way);
+                self.settings.peers.insert(node, addr);
+                tracing::info!("store: node {node} is at {addr} now");
+            }
+            Err(e) => tracing::error!("store: no thread for node {node}: {e}"),
+        }
+    }
+
     fn propose(&mut self, change: Change, reply: Reply) {
         if self.raft.raft.leader_id == raft::INVALID_ID {
             _ = reply.try_send(Err(Refused::NoMajority));
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -44,6 +44,12 @@
         (format!("{sessions}after_start = 'trust'\nfolder = 'x'\n"), "expected no 'folder'"),
         (format!("{sessions}remembered = 0\n"), "'remembered', found 0"),
         (sessions.replace("127.0.0.1:0", "10.0.0.1:0"), "expected ip:port on loopback in 'listen'"),
+        ("[registry]\nkind = 'etcd'\nprefix = 'a'\nendpoints = []\n".into(), "registry: expected an address"),
+        ("[registry]\nkind = 'zk'\n".into(), "expected etcd or consul in 'kind', found 'zk'"),
+        (
+            "[registry]\nkind = 'etcd'\nprefix = 'a'\nendpoints = ['127.0.0.1:1']\nallow = ['x']\n".into(),
+            "expected a network or an address in 'allow', found 'x'",
+        ),
         ("[log]\nlevel = 'loud'\n".into(), "log: expected error, warn"),
         ("[log]\nformat = 'xml'\n".into(), "log: expected text or json"),
         ("[sesions]\n".into(), "the key 'sesions' is not known"),
@@ -56,7 +62,7 @@
 
 #[test]
 fn the_files_that_are_shipped_can_be_used() {
-    for name in ["mysql.toml", "sessions.toml"] {
+    for name in ["mysql.toml", "sessions.toml", "registry.toml"] {
         let path = format!("{}/deploy/{name}", env!("CARGO_MANIFEST_DIR"));
         let (code, out, log) = said(&["check", &path]);
         assert!(code == Some(0) && out.contains("can be used"), "{name}: {log}");
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -598,3 +598,62 @@
     faulty.logged("registry: tls: ");
     assert_eq!(faulty.ended().0, Some(1));
 }
+
+#[test]
+fn thousands_of_changes_over_breaks_end_in_the_registrys_list() {
+    const KEYS: u64 = 2500;
+    let site = Site::new(2, 1);
+    let value = |n: u64, state: &str| {
+        let addr = format!("127.1.{}.{}:3306", n / 250, n % 250 + 1);
+        format!("{{\"addr\":\"{addr}\",\"group\":{},\"state\":\"{state}\"}}", n + 1)
+    };
+    let key = |n: u64| format!("{PREFIX}nodes/extra-{n}");
+    // More than one page of a read.
+    site.registry.together(|c| {
+        (0..KEYS).for_each(|n| _ = c.put(&key(n), value(n, "in_service").into_bytes(), None));
+    });
+    let (mut router, addr) = site.ready("etcd");
+    let mut x = 7u64;
+    for step in 0..5000u64 {
+        x = x.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let (n, state) = ((x >> 33) % KEYS, if x >> 40 & 1 == 0 { "draining" } else { "in_service" });
+        if x >> 50 & 7 == 0 {
+            site.registry.delete(&key(n));
+        } else {
+            site.registry.put(&key(n), &value(n, state));
+        }
+        if step % 700 == 0 {
+            site.registry.break_connections((step / 700 % 2) as usize);
+            site.registry.compact();
+        }
+    }
+    let all = site.registry.all();
+    let serving = all.values().filter(|v| v.contains("in_service")).count();
+    router.logged(&format!("names {} instances, {serving} in service", all.len()));
+    until_by(&mut connect(addr).unwrap(), "replica-1");
+}
+
+#[test]
+fn a_node_of_the_store_is_found_where_the_registry_has_it() {
+    let mut site = Site::new(1, 1);
+    let held: Vec<_> = (0..3).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let at: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().unwrap()).collect();
+    drop(held);
+    // Each knows itself; the first has an address for the second at which nobody listens.
+    let peer = |n: usize, a: SocketAddr| format!("[[store.peer]]\nnode = {n}\naddr = '{a}'\n");
+    let files = [peer(1, at[0]) + &peer(2, at[2]), peer(1, at[0]) + &peer(2, at[1]) + "\n"];
+    let mut routers = Vec::new();
+    for (n, peers) in files.iter().enumerate() {
+        site.more = format!("register = 'router-{n}'");
+        site.sessions = format!("[store]\nnode = {}\ncontrol = '127.0.0.1:0'\n{peers}", n + 1);
+        let (mut router, _) = site.ready("etcd");
+        let control = router.logged("control: answering on ").rsplit(' ').next().unwrap().to_string();
+        routers.push((router, control));
+    }
+    routers[0].0.logged(&format!("store: node 2 is at {} now", at[1]));
+    // With both there is a majority: a change goes through.
+    let begun = Instant::now();
+    while !Program::start(&["ctl", &routers[0].1, "set", "a", "1"], &[]).child.wait().unwrap().success() {
+        assert!(begun.elapsed() < LONG);
+    }
+}
