Follow a Consul that was restored from a backup

Need: with Consul's dialect each new try claimed to stand where the last one did, which cleared the suspicion that the registry had gone back; it was never followed again.

Change: with Consul the whole list alone says where it stands, and a member counts as working once that is accepted.

Measured: the test of a restored registry, now with both dialects, fails without the change and passes with it.

--- a/registry/src/client.rs
+++ b/registry/src/client.rs
@@ -312,13 +312,14 @@
         asks: &mut Asks,
         worked: &mut dyn FnMut(),
     ) -> Result<String, Failed> {
-        let standing = match asks {
-            Asks::Etcd(e) => e.stands(&self.settings.prefix)?,
+        let mut next = match asks {
+            Asks::Etcd(e) => {
+                let Standing { cluster, revision } = e.stands(&self.settings.prefix)?;
+                self.feed(machine, Event::Stands { endpoint, cluster, revision })
+            }
             // It has no cheaper read than the whole list, whose index says where it stands.
-            Asks::Consul(_) => Standing { cluster: 0, revision: machine.revision() },
+            Asks::Consul(_) => Next::Watch(machine.revision() + 1),
         };
-        let Standing { cluster, revision } = standing;
-        let mut next = self.feed(machine, Event::Stands { endpoint, cluster, revision });
         loop {
             next = match next {
                 Next::Leave(why) => return Ok(why),
@@ -330,11 +331,13 @@
                 }
                 Next::Watch(from) => {
                     let addr = self.settings.endpoints[endpoint];
-                    tracing::info!("registry: following {addr} from revision {from} on");
-                    worked();
                     let ended = match asks {
-                        Asks::Etcd(e) => self.watch(machine, endpoint, e, from)?,
-                        Asks::Consul(c) => self.query(machine, endpoint, c)?,
+                        Asks::Etcd(e) => {
+                            tracing::info!("registry: following {addr} from revision {from} on");
+                            worked();
+                            self.watch(machine, endpoint, e, from)?
+                        }
+                        Asks::Consul(c) => self.query(machine, endpoint, c, worked)?,
                     };
                     match ended {
                         Next::None => return Ok("the watch has ended".into()),
@@ -397,7 +400,13 @@
     }
 
     /// Consul's blocking queries, one after the other.
-    fn query(&self, machine: &mut Machine, endpoint: Endpoint, consul: &mut Consul) -> Result<Next, Failed> {
+    fn query(
+        &self,
+        machine: &mut Machine,
+        endpoint: Endpoint,
+        consul: &mut Consul,
+        worked: &mut dyn FnMut(),
+    ) -> Result<Next, Failed> {
         let prefix = self.settings.prefix.clone();
         // Nodes from a service's health are asked for on a connection of their own.
         let health = consul.service.clone().map(|service| {
@@ -418,6 +427,7 @@
             answers
         });
         let (mut keys, mut nodes): (Option<Listed>, Option<Listed>) = (None, None);
+        let mut followed = false;
         // With a service its own wait goes on meanwhile: the keys are asked for in short turns.
         let wait = if health.is_some() { self.way.quiet } else { self.way.wait };
         loop {
@@ -450,6 +460,11 @@
             if let leave @ Next::Leave(_) = self.feed(machine, event) {
                 return Ok(leave);
             }
+            if !std::mem::replace(&mut followed, true) {
+                let addr = self.settings.endpoints[endpoint];
+                tracing::info!("registry: following {addr} from revision {revision} on");
+            }
+            worked();
         }
     }
 
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -248,9 +248,15 @@
 
 #[test]
 fn a_registry_restored_from_a_backup_keeps_what_was_drained() {
+    for kind in ["etcd", "consul"] {
+        restored(kind);
+    }
+}
+
+fn restored(kind: &str) {
     let mut site = Site::new(1, 3);
     site.more = "restored_after_s = 0.3".into();
-    let (mut router, addr) = site.ready("etcd");
+    let (mut router, addr) = site.ready(kind);
     let backup = site.registry.backup();
     site.state(1, "draining");
     site.registry.delete(&site.key(2));
