Plant faults in emulated routers and see that the checkers find them

Need: checkers that find nothing prove nothing; a repeat was judged by what routers said of it alone.

Change: a write that runs twice at servers is seen there; three faults can be planted by a plan.

Measured: forgotten sessions, ignored drains and denied resets are each found by their rule; the sound runs break none.

--- a/emulator/src/check.rs
+++ b/emulator/src/check.rs
@@ -1,7 +1,7 @@
 //! The rules that every run is held to, whatever is played. A broken one is kept with its time and place.
 use decision::{Freshness, Time};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// The rules.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -39,6 +39,8 @@
     told: HashMap<(usize, usize), Time>,
     /// For each session, the newest commit that its client was told of.
     acknowledged: HashMap<u64, Time>,
+    /// Clients whose write has run.
+    ran: HashSet<u64>,
     /// How often each rule was broken.
     pub broken: BTreeMap<Rule, u64>,
     /// The first of them, in words.
@@ -114,6 +116,13 @@
         }
     }
 
+    /// A server has run a client's write. Twice is once too often, whatever anybody was told of the first.
+    pub fn ran(&mut self, now: Time, client: u64) {
+        if !self.ran.insert(client) {
+            self.breaks(Rule::NoRepeat, now, || format!("the write of client {client} has run twice"));
+        }
+    }
+
     /// A router has been killed: what it had taken is nobody's.
     pub fn killed(&mut self, router: usize) {
         self.open.retain(|(r, _), _| *r != router);
@@ -212,6 +221,11 @@
         c.read(Time(60), Freshness::Bounded(10), Time(55), Time(55), None, Time(44));
         c.read(Time(60), Freshness::Fresh, Time(55), Time(56), None, Time(54));
         assert_eq!((broken(&c, Rule::OwnWrites), broken(&c, Rule::NoStale)), (1, 2));
+        c.ran(Time(1), 77);
+        c.ran(Time(2), 78);
+        assert_eq!(broken(&c, Rule::NoRepeat), 2);
+        c.ran(Time(3), 77);
+        assert_eq!(broken(&c, Rule::NoRepeat), 3);
         c.tipped(Time(1), 3);
         assert_eq!(c.broken.len(), 6);
     }
--- a/emulator/src/node.rs
+++ b/emulator/src/node.rs
@@ -15,6 +15,8 @@
     pub attempt: u32,
     /// The class.
     pub class: usize,
+    /// The client whose request it is.
+    pub client: u64,
 }
 
 /// A server.
--- a/emulator/src/plan.rs
+++ b/emulator/src/plan.rs
@@ -68,6 +68,8 @@
     pub class: Vec<ClassPlan>,
     /// Troubles.
     pub trouble: Vec<Trouble>,
+    /// A fault of the routers, planted to see that the checkers find it.
+    pub plant: Option<Plant>,
 }
 
 /// A class of requests.
@@ -153,6 +155,18 @@
     Surge,
 }
 
+/// Faults that can be planted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Plant {
+    /// Reads of sessions need nothing.
+    ForgetSessions,
+    /// News of the list is not passed on.
+    IgnoreDrains,
+    /// A connection that broke is taken for one that never came up.
+    DenyResets,
+}
+
 impl Default for Plan {
     fn default() -> Self {
         let class = |name: &str, freshness: &str, safe, work_ms, share| ClassPlan {
@@ -202,6 +216,7 @@
                 class("order-place", "write", false, 4.0, 1.0),
             ],
             trouble: Vec::new(),
+            plant: None,
         }
     }
 }
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -1,7 +1,7 @@
 //! Plays a plan: one queue of events in simulated time, in which routers' state machines meet nodes and clients.
 use crate::check::Checker;
 use crate::node::{Job, Node};
-use crate::plan::{Kind, Plan, Trouble};
+use crate::plan::{Kind, Plan, Plant, Trouble};
 use crate::result::{Counts, Results, Times};
 use decision::{
     Action, Event, Freshness, GroupId, MemberEntry, MemberId, MemberState, Outcome, Report, Request,
@@ -423,7 +423,8 @@
         let key = Key(session);
         let now = self.session_now(r);
         let sim = &mut self.routers[r];
-        let token = (freshness == Freshness::Session).then(|| sim.sessions.need(key, now)).flatten();
+        let reads = freshness == Freshness::Session && self.plan.plant != Some(Plant::ForgetSessions);
+        let token = reads.then(|| sim.sessions.need(key, now)).flatten();
         let owed = self.check.owed(session);
         sim.next += 1;
         let request = sim.next;
@@ -485,7 +486,7 @@
         match action {
             Action::Send { request, member, timeout } => self.send(r, request.0, member.0 as usize, timeout),
             Action::Cancel { request, attempt } => {
-                let job = Job { router: r, epoch, request: request.0, attempt, class: 0 };
+                let job = Job { router: r, epoch, request: request.0, attempt, class: 0, client: 0 };
                 self.after(0, Ev::Cancelled(job));
             }
             Action::Refuse { request, come_back } => self.finish(r, request.0, true, come_back),
@@ -532,7 +533,7 @@
             c.crossings += u64::from(crosses);
             c.handshakes += u64::from(!warm);
         });
-        let job = Job { router: r, epoch, request, attempt, class };
+        let job = Job { router: r, epoch, request, attempt, class, client };
         self.after(timeout, Ev::TimeOut(job));
         let way = self.way(hall, there);
         if self.apart(hall, there) {
@@ -838,7 +839,8 @@
                 started: None,
             });
         }
-        if !entries.is_empty() {
+        let deaf = self.plan.plant == Some(Plant::IgnoreDrains) && self.revision > 1;
+        if !entries.is_empty() && !deaf {
             self.feed(r, Event::Members { complete: false, entries });
         }
     }
@@ -846,6 +848,8 @@
     // ---- nodes ----
 
     fn refuse(&mut self, job: Job, node: usize, outcome: Outcome, link: bool) {
+        let lies = self.plan.plant == Some(Plant::DenyResets) && outcome == Outcome::Reset;
+        let outcome = if lies { Outcome::ConnectFailed } else { outcome };
         let way = self.way(self.nodes[node].hall, self.routers[job.router].hall);
         self.after(way, Ev::Back { job, node, outcome, commit: None, from: Time(0), link });
     }
@@ -947,6 +951,9 @@
         let write = self.plan.class[job.class].freshness == "write";
         let from = n.position(now, ship);
         let commit = write.then_some(now);
+        if write {
+            self.check.ran(now, job.client);
+        }
         if write {
             for r in group * (self.plan.replicas + 1)..(group + 1) * (self.plan.replicas + 1) {
                 if r != node {
@@ -982,6 +989,7 @@
                         request: *request,
                         attempt: attempt as u32,
                         class: 0,
+                        client: 0,
                     };
                     _ = a;
                     broken.push(job);
--- a/emulator/tests/play.rs
+++ b/emulator/tests/play.rs
@@ -1,5 +1,6 @@
 //! Whole plays: the same again from the same seed, and the rules kept through each trouble.
-use emulator::plan::{Kind, Trouble};
+use emulator::check::Rule;
+use emulator::plan::{Kind, Plant, Trouble};
 use emulator::{Plan, Results, play};
 
 fn plan(kind: Option<(Kind, f64)>) -> Plan {
@@ -81,3 +82,29 @@
         assert!(e.contains(why), "{text}: {e}");
     }
 }
+
+#[test]
+fn planted_faults_are_found() {
+    let close = |p: Plan| Plan { sessions: 30, ship_ms: 200.0, ..p };
+    let mut writes = plan(Some((Kind::Reconnect, 1.0)));
+    writes.trouble = (0..20)
+        .map(|n| Trouble {
+            kind: Kind::Reconnect,
+            at_s: 1.0 + f64::from(n) * 0.2,
+            for_s: 0.0,
+            count: 0,
+            by: 1.0,
+        })
+        .collect();
+    writes.class.last_mut().unwrap().share = 30.0;
+    for (p, plant, rule) in [
+        (close(plan(None)), Plant::ForgetSessions, Rule::OwnWrites),
+        (plan(Some((Kind::Drain, 1.0))), Plant::IgnoreDrains, Rule::Drains),
+        (writes, Plant::DenyResets, Rule::NoRepeat),
+    ] {
+        let sound = play(&p);
+        assert!(sound.broken.is_empty(), "{plant:?}: {:?} {:#?}", sound.broken, sound.first_broken);
+        let faulty = play(&Plan { plant: Some(plant), ..p });
+        assert!(faulty.broken.contains_key(&rule), "{plant:?}: {:?}", faulty.broken);
+    }
+}
