Never take a loopback connection that met itself for one to a peer

Need: a test under load found a peer's port in use. Where nobody listens on a port of the system's own range, an outgoing connection may be given that very port, succeeds, and answers itself; dialled twenty times a second, a peer that is down meets it sooner or later and cannot start.

Change: one place that connects, which closes such a connection at once and says that nobody listens; the store does the same. Tests take addresses on a loopback address of their own.

--- a/registry/src/http.rs
+++ b/registry/src/http.rs
@@ -92,7 +92,7 @@
     }
 
     fn connect(&self) -> io::Result<BufReader<Stream>> {
-        let socket = TcpStream::connect_timeout(&self.addr, self.bounds.connect)?;
+        let socket = routing::wire::dial(self.addr, self.bounds.connect)?;
         socket.set_nodelay(true)?;
         socket.set_write_timeout(Some(self.bounds.silent))?;
         let stream = match &self.tls {
--- a/routing/src/wire.rs
+++ b/routing/src/wire.rs
@@ -147,10 +147,27 @@
     }
 }
 
+/// Connects, and never to itself: where nobody listens on a loopback port from which outgoing connections are taken, the
+/// system may choose that very port for this end, and the connection would answer itself and keep the port from whoever
+/// is to listen there. Then nobody listens, and that is what is said.
+pub fn dial(addr: SocketAddr, within: Duration) -> io::Result<TcpStream> {
+    let socket = TcpStream::connect_timeout(&addr, within)?;
+    if is_own_echo(&socket)? {
+        // Closed without a trace, so that the port is free at once.
+        SockRef::from(&socket).set_linger(Some(Duration::ZERO))?;
+        return Err(io::ErrorKind::ConnectionRefused.into());
+    }
+    Ok(socket)
+}
+
+fn is_own_echo(socket: &TcpStream) -> io::Result<bool> {
+    Ok(socket.local_addr()? == socket.peer_addr()?)
+}
+
 /// A connection to an instance, with what is left of `limits.connect` as the bound of each read while it comes up.
 pub fn connect(addr: SocketAddr, limits: &Limits) -> io::Result<TcpStream> {
     let begun = Instant::now();
-    let socket = TcpStream::connect_timeout(&addr, limits.connect)?;
+    let socket = dial(addr, limits.connect)?;
     socket.set_nodelay(true)?;
     // The connection as a whole has to come up in time, its greeting included.
     let left = limits.connect.saturating_sub(begun.elapsed()).max(Duration::from_millis(20));
@@ -174,3 +191,22 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use socket2::{Domain, Socket, Type};
+
+    #[test]
+    fn a_connection_to_itself_is_told_from_one_to_a_listener() {
+        let own = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        own.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        let at = own.local_addr().unwrap();
+        // Nobody listens there, and the system lets it meet itself.
+        own.connect(&at).unwrap();
+        assert!(is_own_echo(&own.into()).unwrap());
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let socket = dial(listener.local_addr().unwrap(), Duration::from_secs(5)).unwrap();
+        assert!(!is_own_echo(&socket).unwrap());
+    }
+}
--- a/sessions/src/node.rs
+++ b/sessions/src/node.rs
@@ -553,7 +553,7 @@
         };
         while self.listed(peer, addr) {
             let begun = self.clock.now();
-            match TcpStream::connect_timeout(&addr, self.limits.connect) {
+            match routing::wire::dial(addr, self.limits.connect) {
                 Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
                     self.feed(Event::Down(peer, begun));
                     say("is down: its address refuses connections".into(), tracing::Level::WARN);
--- a/store/src/peers.rs
+++ b/store/src/peers.rs
@@ -30,6 +30,10 @@
     for message in waiting {
         if open.is_none() {
             open = TcpStream::connect_timeout(&addr, Duration::from_millis(200)).ok();
+            // Where nobody listens, a loopback connection may meet itself and keep the port from the peer.
+            if open.as_ref().is_some_and(|s| s.local_addr().ok() == s.peer_addr().ok()) {
+                _ = open.take().map(|s| socket2::SockRef::from(&s).set_linger(Some(Duration::ZERO)));
+            }
             _ = open
                 .as_ref()
                 .map(|s| (s.set_nodelay(true), s.set_write_timeout(Some(Duration::from_secs(1)))));
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -79,7 +79,7 @@
     assert_eq!(line["level"], "INFO");
     assert!(line["message"].as_str().unwrap().starts_with("mysql: listening on 127.0.0.1:"));
     // A level above it keeps that line back: the program serves all the same.
-    let at = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let at = common::ports(1)[0];
     let text = FILE.replace("127.0.0.1:0", &at.to_string());
     let path = folder.write("it.toml", &format!("{text}[log]\nlevel = 'warn'\n"));
     let mut program = Program::start(&["serve", path.to_str().unwrap()], &[]);
--- a/tests/common/instances.rs
+++ b/tests/common/instances.rs
@@ -4,17 +4,13 @@
 use mysql::prelude::Queryable;
 use mysql::{Conn, OptsBuilder};
 use standins::fleet::Fleet;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-/// Ports that the system has chosen, held together so that they differ.
-pub fn ports(n: usize) -> Vec<SocketAddr> {
-    let held: Vec<TcpListener> = (0..n).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    held.iter().map(|l| l.local_addr().unwrap()).collect()
-}
+pub use crate::common::ports;
 
 /// How instances keep what sessions must see.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -37,6 +37,17 @@
     }
 }
 
+/// Addresses that nobody else listens on: on a loopback address of this call's own, so that they stay free between the
+/// asking and the using, whatever ports other processes and outgoing connections take meanwhile.
+pub fn ports(n: usize) -> Vec<SocketAddr> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (id, call) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let ip = [127, 1 + (id / 250 % 250) as u8, (id % 250) as u8, 1 + (call % 250) as u8];
+    let held: Vec<TcpListener> =
+        (0..n).map(|_| TcpListener::bind(SocketAddr::from((ip, 0))).unwrap()).collect();
+    held.iter().map(|l| l.local_addr().unwrap()).collect()
+}
+
 /// A running process of the program.
 pub struct Program {
     pub child: Child,
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -441,9 +441,7 @@
 #[test]
 fn instances_find_each_other_in_the_registry() {
     let mut site = Site::new(1, 1);
-    let held: Vec<_> = (0..2).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    let ports: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().unwrap()).collect();
-    drop(held);
+    let ports = common::ports(2);
     let mut routers = Vec::new();
     for (n, at) in ports.iter().enumerate() {
         site.more = format!("register = 'router-{n}'");
@@ -642,9 +640,7 @@
 #[test]
 fn a_node_of_the_store_is_found_where_the_registry_has_it() {
     let mut site = Site::new(1, 1);
-    let held: Vec<_> = (0..3).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    let at: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().unwrap()).collect();
-    drop(held);
+    let at = common::ports(3);
     // Each knows itself; the first has an address for the second at which nobody listens.
     let peer = |n: usize, a: SocketAddr| format!("[[store.peer]]\nnode = {n}\naddr = '{a}'\n");
     let files = [peer(1, at[0]) + &peer(2, at[2]), peer(1, at[0]) + &peer(2, at[1]) + "\n"];
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -1,16 +1,10 @@
 //! The replicated store: three daemons of the real program on loopback, read and changed by its own commands.
 mod common;
-use common::{Folder, LONG, Program};
+use common::{Folder, LONG, Program, ports};
 use serde_json::Value;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Instant;
 
-/// Ports that the system has chosen, held together so that they differ.
-fn ports(n: usize) -> Vec<SocketAddr> {
-    let held: Vec<TcpListener> = (0..n).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    held.iter().map(|l| l.local_addr().unwrap()).collect()
-}
-
 struct Cluster {
     folder: Folder,
     peers: Vec<SocketAddr>,
