Leave the links to instances and the watch as they were connected before

Change: only peers of sessions, the store and the registry are dialled by the new way; the platform's links and watch connect as before.

--- a/discovery/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -108,7 +108,7 @@
         reader: &mut entries::Reader,
         heard: &mut bool,
     ) -> io::Result<bool> {
-        let mut socket = routing::wire::dial(addr, self.limits.watch_connect)?;
+        let mut socket = TcpStream::connect_timeout(&addr, self.limits.watch_connect)?;
         socket.set_nodelay(true)?;
         socket.set_read_timeout(Some(self.limits.watch_silent))?;
         socket.set_write_timeout(Some(self.limits.watch_silent))?;
--- a/routing/src/wire.rs
+++ b/routing/src/wire.rs
@@ -167,7 +167,7 @@
 /// A connection to an instance, with what is left of `limits.connect` as the bound of each read while it comes up.
 pub fn connect(addr: SocketAddr, limits: &Limits) -> io::Result<TcpStream> {
     let begun = Instant::now();
-    let socket = dial(addr, limits.connect)?;
+    let socket = TcpStream::connect_timeout(&addr, limits.connect)?;
     socket.set_nodelay(true)?;
     // The connection as a whole has to come up in time, its greeting included.
     let left = limits.connect.saturating_sub(begun.elapsed()).max(Duration::from_millis(20));
