Let files say which instances share sessions, and the registry only where they are

Need: read again, the change let a start that had not read the registry yet believe that it was alone, and a peer that had moved be proven gone by its old address: either way a session's read could miss its write. With a registry, nobody asked the servers for their clocks either, so an instance without traffic granted nothing.

Change: peers are listed by number in the file and looked for where they are registered; refused connections prove nothing then; clocks are asked of the listed nodes. The stand-in registry loses its leader, is slow, and compacts between two pages; probes count in the emulator's totals; leftovers are gone.

--- a/emulator/src/node.rs
+++ b/emulator/src/node.rs
@@ -105,10 +105,9 @@
         if self.primary {
             return now;
         }
-        while let Some((committed, done)) = self.applying.front().copied().filter(|(_, done)| *done <= now) {
+        while let Some((committed, _)) = self.applying.front().copied().filter(|(_, done)| *done <= now) {
             self.applied = self.applied.max(committed);
             self.applying.pop_front();
-            _ = done;
         }
         let stands = match self.applying.front() {
             Some((committed, _)) => Time(committed.0 - 1),
--- a/emulator/src/result.rs
+++ b/emulator/src/result.rs
@@ -95,6 +95,8 @@
     pub fn total(&self) -> Counts {
         let mut sum = Counts::default();
         self.classes.values().for_each(|(c, _)| sum.add(c));
+        // Probes are of no class.
+        sum.probes = self.seconds.iter().map(|s| s.probes).sum();
         sum
     }
 
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -223,18 +223,14 @@
             next: 0,
             open: HashMap::new(),
             idle: HashMap::new(),
-            follower: Follower::new(FollowerSettings {
-                endpoints: 1,
-                restored_after: 10_000_000,
-                tombstones: 1000,
-            }),
+            follower: Follower::new(FollowerSettings { restored_after: 10_000_000, tombstones: 1000 }),
             fleet: Fleet::new(fleet),
         }
     }
 
     /// A router reads the registry, learns its peers, and begins.
     fn begin_router(&mut self, r: usize) {
-        let items: Vec<Item> = self
+        let mut items: Vec<Item> = self
             .nodes
             .iter()
             .enumerate()
@@ -247,7 +243,6 @@
             .filter(|(t, _)| self.plan.trouble[**t].kind == Kind::Drain)
             .flat_map(|(_, nodes)| nodes.clone())
             .collect();
-        let mut items = items;
         for n in drained {
             items[n] = item(n, "draining", 1, self.revision, self.nodes[n].group, self.nodes[n].hall);
         }
@@ -421,7 +416,7 @@
         }
         let freshness = self.plan.class[class].freshness().unwrap_or(Freshness::Fresh);
         let key = Key(session);
-        let now = self.session_now(r);
+        let now = self.session_now();
         let sim = &mut self.routers[r];
         let reads = freshness == Freshness::Session && self.plan.plant != Some(Plant::ForgetSessions);
         let token = reads.then(|| sim.sessions.need(key, now)).flatten();
@@ -704,13 +699,13 @@
 
     // ---- sessions ----
 
-    fn session_now(&self, _r: usize) -> Now {
+    fn session_now(&self) -> Now {
         // The servers' clock is the one clock here, known a little late.
         Now { at: self.now, present: Some(Time(self.now.0 + 500)) }
     }
 
     fn session(&mut self, r: usize, event: SessionEvent) {
-        let now = self.session_now(r);
+        let now = self.session_now();
         let mut actions = Vec::new();
         self.routers[r].sessions.handle(now, event, &mut actions);
         for action in actions {
@@ -981,7 +976,7 @@
         for (r, sim) in self.routers.iter_mut().enumerate() {
             sim.idle.remove(&node);
             for (request, open) in &sim.open {
-                for (attempt, a) in open.attempts.iter().enumerate().filter(|(_, a)| a.node == node && a.out)
+                for (attempt, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.node == node && a.out)
                 {
                     let job = Job {
                         router: r,
@@ -991,7 +986,6 @@
                         class: 0,
                         client: 0,
                     };
-                    _ = a;
                     broken.push(job);
                 }
             }
--- a/mysql/src/watch.rs
+++ b/mysql/src/watch.rs
@@ -7,13 +7,18 @@
 use std::io;
 use std::net::SocketAddr;
 
-/// Starts the thread that asks.
-pub fn start(wire: Mysql, servers: Vec<SocketAddr>, limits: &Limits) -> io::Result<()> {
+/// Starts the thread that asks whichever servers there are each time.
+pub fn start(
+    wire: Mysql,
+    servers: impl Fn() -> Vec<SocketAddr> + Send + 'static,
+    limits: &Limits,
+) -> io::Result<()> {
     let (pause, retry) = (limits.clock_pause, limits.clock_retry);
     spawn("clocks", limits.stack_bytes, move || {
         loop {
             // A server that can't be asked leaves the others' clocks, and is asked again soon.
-            let all = servers.iter().filter(|addr| !asked(&wire, **addr)).count() == 0;
+            let servers = servers();
+            let all = !servers.is_empty() && servers.iter().filter(|addr| !asked(&wire, **addr)).count() == 0;
             std::thread::sleep(if all { pause } else { retry });
         }
     })
--- a/registry/src/client.rs
+++ b/registry/src/client.rs
@@ -218,7 +218,6 @@
             settings,
         });
         let mut machine = Machine::new(MachineSettings {
-            endpoints: client.settings.endpoints.len(),
             restored_after: client.settings.restored_after.as_micros() as i64,
             tombstones: 100_000,
         });
@@ -653,6 +652,13 @@
         }
     }
 
+    /// Where some of the nodes in service listen, at most so many.
+    pub fn some_addresses(&self, most: usize) -> Vec<SocketAddr> {
+        let inner = self.inner();
+        let serving = inner.fleet.nodes().filter(|(_, _, told)| *told == Some(State::InService));
+        serving.map(|(_, node, _)| node.addr).take(most).collect()
+    }
+
     // ---- registering ----
 
     /// Registers this router, and keeps it registered until [`Client::stop`].
--- a/registry/src/fleet.rs
+++ b/registry/src/fleet.rs
@@ -286,7 +286,7 @@
         if let Some(old) = self.nodes.insert(name.clone(), entry) {
             self.serving -= usize::from(old.serves());
         }
-        self.tell(now, &name, changed, actions);
+        self.tell(&name, changed, actions);
     }
 
     fn gone(&mut self, now: Time, name: &str, actions: &mut Vec<Action>) {
@@ -354,7 +354,7 @@
         }
     }
 
-    fn tell(&mut self, _now: Time, name: &str, changed: bool, actions: &mut Vec<Action>) {
+    fn tell(&mut self, name: &str, changed: bool, actions: &mut Vec<Action>) {
         let Some(wanted) = self.nodes.get(name).map(|e| self.wanted(e)) else { return };
         let Some(e) = self.nodes.get_mut(name) else { return };
         if !changed && e.told == Some(wanted) {
@@ -387,6 +387,6 @@
             return;
         }
         let names: Vec<String> = self.nodes.keys().cloned().collect();
-        names.iter().for_each(|n| self.tell(now, n, false, actions));
+        names.iter().for_each(|n| self.tell(n, false, actions));
     }
 }
--- a/registry/src/machine.rs
+++ b/registry/src/machine.rs
@@ -46,8 +46,6 @@
 /// How it is set up.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// How many members there are.
-    pub endpoints: usize,
     /// A registry whose members all stand behind what is held here, for this long, was restored from a backup.
     pub restored_after: Micros,
     /// Deletions that are remembered, to tell a repeated change from a late one.
--- a/registry/tests/machine.rs
+++ b/registry/tests/machine.rs
@@ -16,7 +16,7 @@
 }
 
 fn machine() -> Machine {
-    Machine::new(Settings { endpoints: 3, restored_after: 10 * S, tombstones: 16 })
+    Machine::new(Settings { restored_after: 10 * S, tombstones: 16 })
 }
 
 fn on(m: &mut Machine, at: i64, event: Event) -> Vec<Action> {
--- a/sessions/src/node.rs
+++ b/sessions/src/node.rs
@@ -169,6 +169,7 @@
             folder: None,
             remembered: limits.sessions_alone,
             lease: Duration::from_secs(1),
+            moves: false,
             trust_after_start: false,
         };
         let machine = MachineSettings {
@@ -555,7 +556,10 @@
             let begun = self.clock.now();
             match routing::wire::dial(addr, self.limits.connect) {
                 Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-                    self.feed(Event::Down(peer, begun));
+                    // Whoever may have moved is not proven gone by the address that it had.
+                    if !self.settings.moves {
+                        self.feed(Event::Down(peer, begun));
+                    }
                     say("is down: its address refuses connections".into(), tracing::Level::WARN);
                 }
                 Err(e) => say(format!("can't be reached: {e}"), tracing::Level::WARN),
--- a/settings/src/operator.rs
+++ b/settings/src/operator.rs
@@ -109,6 +109,8 @@
     pub remembered: usize,
     /// How long one instance relies on another's news without hearing from it.
     pub lease: Duration,
+    /// Peers may be found elsewhere than the file says, by a registry: that an address refuses proves nothing then.
+    pub moves: bool,
     /// After a start without a journal, reads see what they happen to see. Only good for measuring what that costs.
     pub trust_after_start: bool,
 }
@@ -513,6 +515,7 @@
         folder,
         remembered,
         lease: Duration::from_secs_f64(lease / 1000.0),
+        moves: false,
         trust_after_start,
     })
 }
@@ -651,7 +654,8 @@
 fn from(v: Value) -> Result<Operator, String> {
     only(&v, &["mysql", "store", "record", "sessions", "log", "registry"])?;
     let registry = v.get("registry").map(registry).transpose().map_err(|e| format!("registry: {e}"))?;
-    let sessions = v.get("sessions").map(sessions).transpose().map_err(|e| format!("sessions: {e}"))?;
+    let mut sessions = v.get("sessions").map(sessions).transpose().map_err(|e| format!("sessions: {e}"))?;
+    sessions.iter_mut().for_each(|s| s.moves = registry.is_some());
     let log = v.get("log").map(log).transpose().map_err(|e| format!("log: {e}"))?.unwrap_or_default();
     let store = match v.get("store") {
         Some(s) => store(s).map_err(|e| format!("store: {e}"))?,
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -58,8 +58,8 @@
 struct Found {
     /// Users, rules and the default group.
     overlay: Option<String>,
-    /// Instances that share sessions. One that is registered no more may serve all the same: only the file's list
-    /// says that an instance has left for good.
+    /// Where instances that share sessions are registered. Which belong together, the file alone says: an instance that
+    /// nobody has listed yet, or that is registered no more, may be telling its clients of writes all the same.
     peers: BTreeMap<u64, SocketAddr>,
 }
 
@@ -77,7 +77,7 @@
     fn follow(&self, reload: Reload, found: &Found) -> Vec<String> {
         self.front.reload(reload.mysql);
         if let Some(mut peers) = reload.session_peers {
-            peers.extend(found.peers.clone());
+            peers.iter_mut().for_each(|(n, addr)| *addr = found.peers.get(n).copied().unwrap_or(*addr));
             self.sessions.list(peers);
         }
         reload.restart
@@ -114,6 +114,9 @@
     }
 }
 
+/// Servers of a registry's list that are asked for their clocks: any few tell, they are near each other.
+const SERVERS_ASKED: usize = 8;
+
 /// Serves MySQL until SIGTERM.
 pub fn run(path: &Path) -> Result<(), String> {
     let operator = super::operator(path)?;
@@ -125,15 +128,13 @@
     let seed = u64::from(std::process::id()) ^ clock.now().0 as u64;
     let wire = mysql_wire::link::Mysql::new(mysql.clone(), limits.clone(), clock);
     let clocks = wire.clocks.clone();
+    let mysql_servers: Vec<SocketAddr> = mysql.servers.iter().map(|s| s.addr).collect();
     // The peers' listener comes before any client's: a refused connection proves that nothing is served here.
     let sessions = match operator.sessions.clone() {
         Some(s) => Sessions::start(s, &limits, clock, clocks)?,
         None => Sessions::alone(&limits, clock, clocks),
     };
-    if mysql.server_clock {
-        let servers = mysql.servers.iter().map(|s| s.addr).collect();
-        mysql_wire::watch::start(wire.clone(), servers, &limits).map_err(|e| format!("no thread: {e}"))?;
-    }
+    let asks = mysql.server_clock.then(|| wire.clone());
     let answered = operator.registry.as_ref().map(|_| Arc::new(Answered::default()));
     let core =
         routing::Start { wire, settings, seed, limits: limits.clone(), clock, answered: answered.clone() };
@@ -190,6 +191,12 @@
         }
     };
     let stop = signals::obey(signals, limits.module_stack_bytes, move || follows.reload())?;
+    if let Some(wire) = asks {
+        let (listed, client) = (mysql_servers, registry.clone());
+        let servers =
+            move || client.as_ref().map_or_else(|| listed.clone(), |c| c.some_addresses(SERVERS_ASKED));
+        mysql_wire::watch::start(wire, servers, &limits).map_err(|e| format!("no thread: {e}"))?;
+    }
     // A router that ends is off the registry while it still takes its last requests.
     let stop = match registry {
         None => stop,
--- a/standins/src/registry.rs
+++ b/standins/src/registry.rs
@@ -55,6 +55,12 @@
     pub twice: bool,
     /// Changes that wait together are brought in the wrong order.
     pub reorder: bool,
+    /// It knows no leader: reads are refused, and watches bring nothing.
+    pub leaderless: bool,
+    /// Each answer takes this long.
+    pub slow: Duration,
+    /// The history is forgotten behind the first page of the next read.
+    pub compact_midway: bool,
 }
 
 struct Member {
@@ -298,6 +304,8 @@
             if request.path == "/v3/watch" {
                 return self.watch(member, &request, stream.get_mut());
             }
+            let slow = self.state().members[member].faults.slow;
+            std::thread::sleep(slow);
             let (code, headers, body) = self.answer(member, &request);
             // It may have fallen silent over the answer.
             if self.awake(member).is_none() {
@@ -343,13 +351,24 @@
             }
         }
         let faults = state.members[member].faults.clone();
+        if faults.leaderless {
+            return (503, String::new(), refusal("etcdserver: no leader", 14));
+        }
         let revision = faults.stands_at.unwrap_or(state.contents.revision);
         let header = json!({"cluster_id": faults.cluster.unwrap_or(CLUSTER).to_string(),
             "member_id": (member + 1).to_string(), "revision": revision.to_string(), "raft_term": "2"});
         let answer = match r.path.as_str() {
             "/v3/kv/range" => {
                 state.reads += 1;
-                state.contents.range(&asked, revision)
+                let answer = state.contents.range(&asked, revision);
+                let paged = answer.as_ref().is_ok_and(|v| v["more"] == true);
+                if paged && std::mem::take(&mut state.members[member].faults.compact_midway) {
+                    // Someone writes, and someone compacts, before the next page is asked for.
+                    state.contents.put("/elsewhere", vec![], None);
+                    state.contents.compacted = state.contents.revision;
+                    state.contents.history.clear();
+                }
+                answer
             }
             "/v3/kv/put" => {
                 let lease = number(&asked, "lease");
@@ -429,7 +448,7 @@
                     let f = &s.members[member].faults;
                     let quiet =
                         s.contents.compacted < next && !s.contents.history.iter().any(|h| h.revision >= next);
-                    !f.down && (f.silent || f.mute || quiet)
+                    !f.down && (f.silent || f.mute || f.leaderless || quiet)
                 };
                 let mut state =
                     self.changed.wait_while(self.state(), waits).unwrap_or_else(|p| p.into_inner());
@@ -565,8 +584,9 @@
         let (state, _) = waited.unwrap_or_else(|p| p.into_inner());
         let (mut at, items) = list(&state);
         at = state.members[member].faults.stands_at.unwrap_or(at);
+        let leads = !state.members[member].faults.leaderless;
         let headers =
-            format!("X-Consul-Index: {at}\r\nX-Consul-KnownLeader: true\r\nX-Consul-LastContact: 0\r\n");
+            format!("X-Consul-Index: {at}\r\nX-Consul-KnownLeader: {leads}\r\nX-Consul-LastContact: 0\r\n");
         let code = if items.is_empty() && r.path.starts_with("/v1/kv") { 404 } else { 200 };
         (code, headers, Value::Array(items).to_string().into_bytes())
     }
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -18,6 +18,7 @@
     folder: Folder,
     more: String,
     sessions: String,
+    mysql: String,
 }
 
 fn node(addr: SocketAddr, state: &str) -> String {
@@ -32,8 +33,14 @@
 
     fn over(registry: Registry, replicas: usize) -> Site {
         let fleet = Fleet::start(&vec![Duration::ZERO; replicas], Duration::from_millis(5));
-        let site =
-            Site { registry, fleet, folder: Folder::new(), more: String::new(), sessions: String::new() };
+        let site = Site {
+            registry,
+            fleet,
+            folder: Folder::new(),
+            more: String::new(),
+            sessions: String::new(),
+            mysql: String::new(),
+        };
         (0..=replicas).for_each(|s| site.state(s, "in_service"));
         site
     }
@@ -49,10 +56,11 @@
     fn file(&self, kind: &str) -> String {
         let endpoints: Vec<String> = self.registry.addrs().iter().map(|a| format!("'{a}'")).collect();
         let text = format!(
-            "[mysql]\nlisten = '127.0.0.1:0'\ndatabase = 'shop'\nserver_user = 'router'\nprobe = 'SELECT probe'\n\
+            "[mysql]\nlisten = '127.0.0.1:0'\ndatabase = 'shop'\nserver_user = 'router'\nprobe = 'SELECT probe'\n{}\n\
              [[mysql.user]]\nname = 'till'\npassword = 'secret'\n\
              [[mysql.class]]\nname = 'any'\nfreshness = 'any'\neffect = 'safe'\naim_ms = 2000\ndeadline_ms = 4000\n\
              [registry]\nkind = '{kind}'\nprefix = '{PREFIX}'\nendpoints = [{}]\n{}\n{}",
+            self.mysql,
             endpoints.join(", "),
             self.more,
             self.sessions
@@ -98,6 +106,11 @@
     Ok(row.unwrap().1)
 }
 
+/// The same for a session that has a name.
+fn by_named(addr: SocketAddr) -> mysql::Result<()> {
+    connect(addr)?.query_drop("SELECT n FROM basket WHERE k = 'x' /* c=any,s=ann */")
+}
+
 /// Reads until this one has answered.
 fn until_by(client: &mut Conn, server: &str) {
     let begun = Instant::now();
@@ -439,18 +452,77 @@
 }
 
 #[test]
-fn instances_find_each_other_in_the_registry() {
+fn instances_that_list_each_other_are_found_where_the_registry_has_them() {
     let mut site = Site::new(1, 1);
-    let ports = common::ports(2);
+    // The servers' clocks have to be known before anything is granted, and nobody asks these routers for anything.
+    site.mysql = "server_clock = true\nclock_skew_ms = 1".into();
+    let (at, nowhere) = (common::ports(3), common::ports(3));
     let mut routers = Vec::new();
-    for (n, at) in ports.iter().enumerate() {
+    for (n, own) in at.iter().enumerate() {
         site.more = format!("register = 'router-{n}'");
-        site.sessions = format!("[sessions]\ninstance = {}\nlisten = '{at}'{}\n", n + 1, " ".repeat(n));
-        routers.push(site.ready("etcd"));
+        // The first two list each other, at addresses where nobody listens. The third is listed by none.
+        let peer = |p: usize| format!("[[sessions.peer]]\ninstance = {}\naddr = '{}'\n", p + 1, nowhere[p]);
+        let peers = if n < 2 { peer(1 - n) } else { peer(0) + &peer(1) };
+        site.sessions = format!("[sessions]\ninstance = {}\nlisten = '{own}'\n{peers}\n", n + 1);
+        site.sessions.push_str(&"\n".repeat(n));
+        routers.push(site.start("etcd"));
     }
-    for (n, (router, _)) in routers.iter_mut().enumerate() {
+    for (n, (router, _)) in routers.iter_mut().enumerate().take(2) {
         router.logged(&format!("peer {} takes our commits", 2 - n));
+        router.logged("every peer's news is relied on");
     }
+    routers[2].0.logged("takes nothing from here: NotListed");
+    let refused = by_named(routers[2].1).unwrap_err().to_string();
+    assert!(refused.contains("does not list this one"), "{refused}");
+    // One that dies is not proven gone by an address that it may have left: nothing is relied on.
+    routers.remove(1);
+    routers[0].0.logged("no news to rely on from peer 2");
+}
+
+#[test]
+fn a_member_without_a_leader_or_too_slow_is_left_for_another() {
+    for kind in ["etcd", "consul"] {
+        let site = Site::new(2, 2);
+        let (mut router, addr) = site.ready(kind);
+        let load = Load::start(addr);
+        (0..2).for_each(|m| site.registry.faults(m, |f| f.leaderless = true));
+        (0..2).for_each(|m| site.registry.break_connections(m));
+        router.logged(if kind == "etcd" { "no leader" } else { "knows no leader" });
+        // Another leads, and what it has taken meanwhile counts; the other member is slow beyond patience.
+        site.state(1, "draining");
+        site.registry.faults(0, |f| (f.leaderless, f.slow) = (false, LONG));
+        site.registry.faults(1, |f| f.leaderless = false);
+        router.logged("names 3 instances, 2 in service");
+        gets_nothing_new(&site, 1, 2);
+        drop(load);
+    }
+}
+
+#[test]
+fn a_read_whose_revision_is_compacted_between_two_pages_begins_anew() {
+    let site = Site::new(1, 1);
+    site.registry.together(|c| {
+        for n in 0..2500 {
+            let value = node(([127, 1, (n / 250) as u8, (n % 250) as u8 + 1], 3306).into(), "draining");
+            c.put(&format!("{PREFIX}nodes/extra-{n}"), value.into_bytes(), None);
+        }
+    });
+    site.registry.faults(0, |f| f.compact_midway = true);
+    let (mut router, _) = site.start("etcd");
+    router.logged("names 2502 instances, 2 in service");
+}
+
+#[test]
+fn an_answer_longer_than_what_is_taken_ends_its_connection_only() {
+    let site = Site::new(1, 1);
+    let (mut router, addr) = site.ready("consul");
+    site.registry.put("/damsonvale/shop/other", &"x".repeat(9 << 20));
+    router.logged("the answer is longer than");
+    assert!(by(&mut connect(addr).unwrap()).is_ok());
+    // It is read again once the key is small.
+    site.registry.put("/damsonvale/shop/other", "x");
+    site.state(1, "draining");
+    router.logged("names 2 instances, 1 in service");
 }
 
 #[test]
