Keep links to instances warm and ask across those that have rested long

The reason for the 1.5 s was networks that forget a connection sooner.

Links now rest half the instance's own time. One that has rested over 1.5 s is asked across with an empty query, which has no effect and is answered at once; without an answer in 40 ms it is replaced before a request is lost on it. When descriptors run short each instance's last warm link goes last. MySQL links go as before. The log can tell events, actions and connections (DAMSONVALE_LOG=debug), nothing when unset.

--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -14,7 +14,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What a request brings to a server.
 pub enum Payload {
@@ -191,8 +191,8 @@
         self.socket.clone()
     }
 
-    fn alive(&mut self) -> bool {
-        self.reader.is_empty() && idle_and_open(&self.socket)
+    fn alive(&mut self, rested: Duration) -> bool {
+        rested < self.limits.link_trust && self.reader.is_empty() && idle_and_open(&self.socket)
     }
 
     fn carry(&mut self, work: Work<'_, Mysql>, stop: &Stop) -> Result<Reply<Payloads>, Unsent> {
@@ -294,7 +294,7 @@
                     Err(_) => return Err(Unsent::Broken),
                     Ok(answer) if errors::code(&answer[0]).is_some() => return Ok(self.reply(Ok(answer))),
                     // A server that died over the preparing has closed by now as a rule: nothing is written to it.
-                    Ok(_) if !self.alive() => return Err(Unsent::Broken),
+                    Ok(_) if !self.alive(Duration::ZERO) => return Err(Unsent::Broken),
                     Ok(_) => continue,
                 },
             };
--- a/postgres/src/link.rs
+++ b/postgres/src/link.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The platform's wire.
 pub struct Postgres {
@@ -117,8 +117,9 @@
         self.socket.clone()
     }
 
-    fn alive(&mut self) -> bool {
-        self.buffer.is_empty() && idle_and_open(&self.socket)
+    fn alive(&mut self, rested: Duration) -> bool {
+        let quiet = self.buffer.is_empty() && idle_and_open(&self.socket);
+        quiet && (rested < self.limits.link_trust || self.echoes())
     }
 
     fn carry(&mut self, work: Work<'_, Postgres>, stop: &Stop) -> Result<Reply<Vec<u8>>, Unsent> {
@@ -165,6 +166,25 @@
 }
 
 impl PostgresLink {
+    /// Asks with an empty query, which has no effect and is answered at once: a connection that was forgotten on the
+    /// way brings a reset or nothing, before a request is lost on it.
+    fn echoes(&mut self) -> bool {
+        if write_gathered(&self.socket, &[b"Q\0\0\0\x05\0"]).is_err() {
+            return false;
+        }
+        let until = Instant::now() + self.limits.link_check;
+        let mut empty = false;
+        loop {
+            let Ok(Some(frame)) = self.buffer.next(Until(&self.socket, until)) else { return false };
+            match frame.tag {
+                b'I' => empty = true,
+                b'S' | b'N' => {}
+                b'Z' => return empty && self.buffer.get(frame.body()) == b"I" && self.buffer.is_empty(),
+                _ => return false,
+            }
+        }
+    }
+
     /// Reads one answer: a row's description, the row, its end, with notes and notices between, and ReadyForQuery.
     /// Whatever else comes is spoilt: an attempt that failed and may have run, on a link of no further use. What
     /// comes behind a whole row changes nothing of the row.
@@ -252,3 +272,77 @@
         Reply { outcome, answer, note, commit: None, report: said.report, reusable }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+    use std::net::TcpListener;
+    use std::sync::mpsc::{Receiver, channel};
+
+    const EMPTY: &[u8] = b"Q\0\0\0\x05\0";
+    const LONG: Duration = Duration::from_secs(20);
+
+    /// A link to an instance that answers each empty query, and whatever else it gets, with the next of `answers` and
+    /// then says nothing any more; what it gets is passed on.
+    fn link(answers: &'static [&'static [u8]]) -> (PostgresLink, Receiver<Vec<u8>>) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (heard, hears) = channel();
+        std::thread::spawn(move || {
+            let mut socket = listener.accept().unwrap().0;
+            let mut got = [0; 256];
+            let startup = socket.read(&mut got).unwrap();
+            assert!(startup > 0);
+            socket.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I").unwrap();
+            for answer in answers {
+                let n = socket.read(&mut got).unwrap_or(0);
+                if n == 0 {
+                    return;
+                }
+                _ = heard.send(got[..n].to_vec());
+                _ = socket.write_all(answer);
+            }
+            // Whatever comes now is swallowed without a word, as by a network that has forgotten the connection.
+            while socket.read(&mut got).is_ok_and(|n| n > 0) {}
+        });
+        let mut limits = Limits::new(256, 32 << 20, LONG, LONG, LONG);
+        limits.link_check = Duration::from_millis(500);
+        (Postgres::new(Arc::new(limits)).open(addr).ok().unwrap(), hears)
+    }
+
+    #[test]
+    fn a_link_that_has_rested_for_long_is_asked_across_and_one_at_work_is_not() {
+        let (mut l, hears) = link(&[b"I\0\0\0\x04Z\0\0\0\x05I", b"I\0\0\0\x04Z\0\0\0\x05I"]);
+        assert!(l.alive(Duration::ZERO));
+        assert!(l.alive(Duration::from_secs(5)), "the instance answers across it");
+        assert!(l.alive(Duration::from_secs(5)), "and may be asked again");
+        assert_eq!(hears.try_iter().collect::<Vec<_>>(), [EMPTY, EMPTY], "the fresh one was taken as it is");
+    }
+
+    #[test]
+    fn a_link_that_was_forgotten_or_answers_something_else_is_not_used() {
+        let (mut l, _hears) = link(&[]);
+        assert!(l.alive(Duration::ZERO), "nothing shows that it was forgotten");
+        assert!(!l.alive(Duration::from_secs(5)));
+        for odd in [
+            &b"Z\0\0\0\x05I"[..],
+            b"E\0\0\0\x0cC57P01\0\0",
+            b"I\0\0\0\x04Z\0\0\0\x05T",
+            b"I\0\0\0\x04Z\0\0\0\x05IZ",
+        ] {
+            let (mut l, _hears) = link(Box::leak(Box::new([odd])));
+            assert!(!l.alive(Duration::from_secs(5)), "{odd:?}");
+        }
+    }
+
+    #[test]
+    fn links_rest_far_longer_than_the_time_in_which_a_router_of_many_meets_an_instance_again() {
+        let (thirty, limit) = (Duration::from_secs(30), Duration::from_secs(10));
+        let limits = Limits::new(384, 48 << 20, Duration::from_millis(250), thirty, thirty);
+        assert!(limits.link_idle > limit && limits.link_idle < thirty);
+        // An instance that closes early is left early.
+        let short = Limits::new(384, 48 << 20, Duration::from_millis(250), Duration::from_secs(2), thirty);
+        assert!(short.link_idle < Duration::from_secs(2) && short.link_trust <= short.link_idle);
+    }
+}
--- a/routing/src/messages.rs
+++ b/routing/src/messages.rs
@@ -61,7 +61,10 @@
         report: Report,
     },
     /// Links to instances take up most of their descriptors.
-    Crowded,
+    Crowded {
+        /// Links that each peer may keep warm.
+        keep: usize,
+    },
     /// News of the list.
     List(ListNews),
 }
@@ -80,7 +83,10 @@
     /// Whether the list has it in service.
     InService(bool),
     /// Descriptors run short: links that rest are let go.
-    Trim,
+    Trim {
+        /// but for so many, the warmest.
+        keep: usize,
+    },
     /// The module has no more use for it.
     Forgotten,
     /// A link has ended its work; it waits for more if it can.
--- a/routing/src/module.rs
+++ b/routing/src/module.rs
@@ -232,8 +232,8 @@
                 self.note(member, outcome);
                 self.feed(Event::Probed { member, outcome, report });
             }
-            Message::Crowded => {
-                self.members.values().for_each(|m| m.tell(PeerMessage::Trim));
+            Message::Crowded { keep } => {
+                self.members.values().for_each(|m| m.tell(PeerMessage::Trim { keep }));
             }
             Message::List(news) => self.list(news),
         }
@@ -276,6 +276,9 @@
                 let peer = || Peer { name: e.id.clone(), addr: e.addr, in_service: true, actor: None };
                 self.members.entry(id).or_insert_with(peer);
             }
+            if known.is_none() {
+                tracing::debug!("member {} is {}", id.0, e.id);
+            }
             self.ids.insert(e.id.clone(), id);
             if let Some(m) = self.members.get_mut(&id) {
                 m.in_service(e.state == MemberState::Ready);
@@ -329,8 +332,12 @@
 
     fn feed(&mut self, event: Event) {
         let mut actions = Vec::new();
-        self.router.handle(self.clock.now(), event, &mut actions);
+        let now = self.clock.now();
+        // What a fleet does is counted from these two lines of each router: docs/operate-fleet.md.
+        tracing::debug!(at = now.0, "event {event:?}");
+        self.router.handle(now, event, &mut actions);
         for a in actions {
+            tracing::debug!(at = now.0, "action {a:?}");
             self.act(a);
         }
     }
--- a/routing/src/peer.rs
+++ b/routing/src/peer.rs
@@ -95,9 +95,14 @@
                     }
                 }
                 Ok(PeerMessage::Ended { link, reusable }) => self.ended(link, reusable),
-                Ok(PeerMessage::Trim) => {
+                Ok(PeerMessage::Trim { keep }) => {
                     let least = self.shared.limits.link_idle_least;
-                    self.idle.retain(|l| l.since.elapsed() < least);
+                    let mut spare = self.idle.len().saturating_sub(keep);
+                    self.idle.retain(|l| {
+                        let goes = spare > 0 && l.since.elapsed() >= least;
+                        spare -= usize::from(goes);
+                        !goes
+                    });
                 }
                 Ok(PeerMessage::Forgotten) => {
                     self.busy.iter().for_each(|b| b.stop.stop_unless_begun());
@@ -132,8 +137,10 @@
         let taken = self.shared.open.fetch_add(1, Ordering::Relaxed);
         let counted = Counted(self.shared.open.clone());
         if 4 * taken >= 3 * limits.link_connections {
-            // In time, before attempts meet the bound while other peers' links rest.
-            _ = self.shared.module.try_send(Message::Crowded);
+            // In time, before attempts meet the bound while other peers' links rest. The last warm link to each
+            // instance goes only when that was not enough: with many instances each is met seldom.
+            let keep = usize::from(16 * taken < 15 * limits.link_connections);
+            _ = self.shared.module.try_send(Message::Crowded { keep });
         }
         if taken >= limits.link_connections || self.busy.len() >= limits.links_per_peer {
             return self.shared.report(&job.task, Reply::bare(Outcome::Moot));
@@ -205,7 +212,7 @@
         if link.is_some() && !rest.is_zero() {
             std::thread::sleep(rest);
         }
-        let reply = carry(shared, &mut link, &job);
+        let reply = carry(shared, &mut link, answered, &job);
         answered = Instant::now();
         let reusable = reply.reusable && link.is_some();
         // The peer hears first: the module's next attempt finds this link idle.
@@ -219,11 +226,20 @@
 
 /// One job on the link at hand, or on a new one. A pooled connection that broke before the last byte was
 /// written has carried nothing, so the job goes out once more on a fresh one.
-fn carry<W: Wire>(shared: &Shared<W>, link: &mut Option<W::Link>, job: &Job<W>) -> Reply<W::Answer> {
+fn carry<W: Wire>(
+    shared: &Shared<W>,
+    link: &mut Option<W::Link>,
+    answered: Instant,
+    job: &Job<W>,
+) -> Reply<W::Answer> {
     loop {
-        let pooled = link.as_mut().is_some_and(Link::alive);
+        let pooled = link.as_mut().is_some_and(|l| l.alive(answered.elapsed()));
         if !pooled {
-            *link = match shared.wire.open(shared.addr) {
+            let begun = Instant::now();
+            let opened = shared.wire.open(shared.addr);
+            let (member, took) = (shared.member.0, begun.elapsed().as_micros());
+            tracing::debug!(member, took, "link: {:?}", opened.as_ref().err());
+            *link = match opened {
                 Ok(l) => Some(l),
                 Err(outcome) => return Reply::bare(outcome),
             };
--- a/routing/src/wire.rs
+++ b/routing/src/wire.rs
@@ -58,8 +58,9 @@
 pub trait Link<W: Wire> {
     /// The connection, for whoever must end the work.
     fn socket(&self) -> Arc<TcpStream>;
-    /// Whether an idle connection still stands; nothing must be written to one that does not.
-    fn alive(&mut self) -> bool;
+    /// Whether an idle connection still stands; nothing must be written to one that does not. One that has rested
+    /// for long may have been forgotten on the way without a word: a wire asks across it, or says that it does not.
+    fn alive(&mut self, rested: Duration) -> bool;
     /// Carries one piece of work to its end, or says that the connection broke before the last byte of it was
     /// written. [`Stop::begin`] is asked right before the first byte.
     fn carry(&mut self, work: Work<'_, W>, stop: &Stop) -> Result<Reply<W::Answer>, Unsent>;
--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -74,9 +74,13 @@
     pub connect: Duration,
     /// A probe without an answer after this time has timed out.
     pub probe: Duration,
-    /// A connection to an instance is retired after this time without a request: well before the instance's own,
-    /// since whatever lies between may forget it sooner, and the next request on it would be lost.
+    /// A connection to an instance is retired after this time without a request, well before the instance would.
     pub link_idle: Duration,
+    /// One that has rested this long is asked across before a request goes out on it: whatever lies between may
+    /// have forgotten it sooner, and the request would be lost.
+    pub link_trust: Duration,
+    /// How long that answer is waited for.
+    pub link_check: Duration,
     /// A client's startup has to be whole this long after it connected;
     pub client_start: Duration,
     /// where room is wanted, one that has said nothing for this long is let go.
@@ -165,7 +169,9 @@
             mailbox: 4096,
             connect,
             probe: connect,
-            link_idle: keepalive.mul_f64(0.5).min(Duration::from_millis(1500)),
+            link_idle: keepalive.mul_f64(0.5),
+            link_trust: keepalive.mul_f64(0.5).min(Duration::from_millis(1500)),
+            link_check: Duration::from_millis(40),
             client_start: Duration::from_millis(1500),
             client_start_least: Duration::from_millis(100),
             client_first: Duration::from_millis(2200),
--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -6,13 +6,17 @@
 
 /// Serves the platform until SIGTERM.
 pub fn run() -> Result<(), String> {
-    crate::log::start(&Log::default());
     let env = |name: &str| std::env::var(name).ok();
+    // Unset, the log is as it always was: lines for the pager, nothing for each request.
+    let level = env("DAMSONVALE_LOG").unwrap_or_else(|| Log::default().level);
+    crate::log::start(&Log { level, ..Log::default() });
     let path = env("BALANCER_CONFIG").ok_or("BALANCER_CONFIG: expected the path of the configuration")?;
     let file = PathBuf::from(&path);
     let signals = signals::note()?;
     let start = settings::start::read(&super::read(&file)?, &env).map_err(|e| format!("{path}: {e}"))?;
     let limits = Arc::new(start.limits.clone());
+    tracing::debug!("settings {:?}", start.settings);
+    tracing::debug!("said {}", start.said);
 
     let core = routing::Start {
         wire: postgres::link::Postgres::new(limits.clone()),
