Learn roles from answers and go round for the primary instead of probing it all

Ruled out: probes as proof (instances check here).

At fault in decision/src/decide.rs: probe() and search(), which counted rounds; choose_read(), which probed whoever had not told its role; choose_primary(), which left the search to probes but for one try. That a fresh router trusts no replica before a probe (a default there) holds on where instances do not check.

--- a/decision/src/decide.rs
+++ b/decision/src/decide.rs
@@ -23,8 +23,10 @@
 const WAITS: usize = 16;
 /// Their counts are halved at this many of one kind, so that clients may change in the long run.
 const WAITS_HALVED: u32 = 1000;
-/// Rounds between two probes of one member that look for the primary or for a position.
+/// Rounds between two probes of one member that look for the primary or for a position,
 const PROBE_ROUNDS: i64 = 20;
+/// and the least time between them: reports are as old as that, and every driver asks.
+const PROBE_GAP: Micros = 100_000;
 /// Doublings of that time while a search or a member's probes bring nothing.
 const PROBE_DOUBLINGS: u32 = 3;
 /// Probes that one read may buy to prove a replica fresh; after these it is the primary's.
@@ -360,7 +362,7 @@
     /// Looks for the primary: all members are asked, less and less often while that shows nothing new.
     fn search(&mut self, g: GroupId, actions: &mut Vec<Action>) {
         let Some(group) = self.groups.get_mut(&g) else { return };
-        let gap = (PROBE_ROUNDS * self.settings.round) << group.searches.min(PROBE_DOUBLINGS);
+        let gap = (PROBE_ROUNDS * self.settings.round).max(PROBE_GAP) << group.searches.min(PROBE_DOUBLINGS);
         if self.now.0 - group.searched.0 >= gap {
             (group.searched, group.searches) = (self.now, group.searches + 1);
             for m in group.members.clone() {
@@ -373,7 +375,7 @@
     fn probe(&mut self, id: MemberId, actions: &mut Vec<Action>) -> bool {
         let now = self.now;
         let Some(m) = self.members.get_mut(&id) else { return false };
-        let gap = (PROBE_ROUNDS * self.settings.round) << m.probes_failed.min(PROBE_DOUBLINGS);
+        let gap = (PROBE_ROUNDS * self.settings.round).max(PROBE_GAP) << m.probes_failed.min(PROBE_DOUBLINGS);
         let due = m.state == MemberState::Ready && m.probes_out == 0 && now.0 - m.probed.0 >= gap;
         if !self.settings.may_probe || !due {
             return false;
@@ -538,20 +540,19 @@
             return if self.room(primary, draw, crowd) { Choice::Send(primary) } else { Choice::Hold };
         }
         let members = group.members.clone();
-        // A write that missed goes on once to the likeliest other member; after that the search is left to
-        // probes, or where these fail it goes round the members itself.
+        // It goes round the members itself, the likeliest first, past those that have just said that they are
+        // none; after one round of misses the search is left to probes. Reads do so only where members check.
         let misses = open.count(Outcome::Miss);
-        let blind = misses > 1 || open.attempts.is_empty();
-        let asked = |m: &MemberId| self.members[m].probes_out == 0 && self.members[m].probes_failed > 0;
-        if self.class(open).freshness == Freshness::Write
+        let checked = self.settings.when_behind != WhenBehind::Answers;
+        let denied = |m: &MemberId| self.now.0 - self.members[m].demoted.0 < PROBE_GAP;
+        if (checked || self.class(open).freshness == Freshness::Write)
             && open.attempts.len() == misses
             && misses + 1 < self.settings.max_attempts as usize
-            && (!blind || members.iter().any(asked))
         {
             let next = members
                 .iter()
                 .filter(|m| open.attempts.iter().all(|a| a.member != **m))
-                .filter(|m| self.usable(**m) && self.room(**m, draw, crowd) && (!blind || asked(m)))
+                .filter(|m| self.usable(**m) && self.room(**m, draw, crowd) && !denied(m))
                 .max_by_key(|m| (self.members[m].listed_primary, self.members[m].position));
             if let Some(&next) = next {
                 return Choice::Send(next);
@@ -623,9 +624,12 @@
         let tried: Vec<MemberId> = open.attempts.iter().map(|a| a.member).collect();
         let Some(group) = self.groups.get(&g) else { return Choice::Hold };
         let (primary, members) = (group.primary, group.members.clone());
-        // Where members check, or the class bears any age, one whose probes fail may serve reads unknown.
+        // Where members check, their first answer tells as much as a probe. Where they don't, one whose
+        // probes fail may serve a class that bears any age.
+        let checked = self.settings.when_behind != WhenBehind::Answers;
         let proof = self.settings.when_behind == WhenBehind::Answers && need.is_some();
-        let known = |m: &Member| m.role_known || (m.probes_failed > 0 && !proof);
+        let known =
+            |m: &Member| m.role_known || (!proof && (m.probes_failed > 0 || checked && !m.listed_primary));
         let (fresh, behind): (Vec<MemberId>, Vec<MemberId>) = members
             .iter()
             .filter(|m| Some(**m) != primary && self.usable(**m) && !tried.contains(m))
@@ -637,7 +641,7 @@
             late * members.len().saturating_sub(1) as f64 / (fresh.len() + behind.len()).max(1) as f64;
         // A first probe may have brought no report: who has not said its role is asked again.
         for m in &members {
-            if !self.members[m].role_known && self.usable(*m) {
+            if !checked && !self.members[m].role_known && self.usable(*m) {
                 self.probe(*m, actions);
             }
         }
