One actor for all instances in place of one thread for each

Counted over 300 routers in service: 74 threads each by the mean, 185 at most; of one router's 112, 58 were the actors of its instances, 41 links, 8 clients. Each actor also held a mailbox with room for 4,096 messages: 17 to 23 MB a router.

At fault: peer::start in routing/src/peer.rs, called for each instance that gets work. One actor now keeps the peers of all instances and never waits for a socket, as each did; a peer has a number of its own, so that one that was listed elsewhere hears nothing of its forerunner's links. The thread still begins with the first work. A test counts it on the real program; with two instances the old program had two.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - the [module](module) owns the decisions, the clock and the timers, and claims each request's answer;
 //! - the [list](list) holds the member list and tells the module and the peers of changes;
-//! - a [peer](peer) for each instance owns the links to it.
+//! - the [peers](peer) own the links to the instances.
 pub mod clock;
 pub mod list;
 pub mod messages;
--- a/routing/src/messages.rs
+++ b/routing/src/messages.rs
@@ -72,8 +72,18 @@
 /// An attempt's name: its request and its number.
 pub type Key = (RequestId, u32);
 
+/// Which peer a message is for: a number that no later peer gets, though an instance that is listed elsewhere keeps its id.
+pub type PeerId = u64;
+
 /// What a peer is told.
 pub enum PeerMessage<W: Wire> {
+    /// Begin with an instance.
+    Start {
+        /// Which instance.
+        member: MemberId,
+        /// Where it listens.
+        addr: SocketAddr,
+    },
     /// Carry an attempt; the router stops waiting for it at this moment.
     Attempt(Key, Arc<W::Payload>, Instant),
     /// Stop waiting for an attempt.
--- a/routing/src/module.rs
+++ b/routing/src/module.rs
@@ -2,7 +2,8 @@
 //! clock and the timers, never waits for a socket, and claims the single final answer of each request.
 use crate::clock::Clock;
 use crate::list::ListHandle;
-use crate::messages::{Final, Incoming, Key, ListNews, Message, PeerMessage};
+use crate::messages::{Final, Incoming, Key, ListNews, Message, PeerId, PeerMessage};
+use crate::peer::ToPeers;
 use crate::wire::{Reply, Wire};
 use crate::{list, peer, spawn};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
@@ -100,6 +101,8 @@
             clock,
             own: to.clone(),
             links: Arc::default(),
+            peers: None,
+            next_peer: 0,
             ids: HashMap::new(),
             members: HashMap::new(),
             next_member: 0,
@@ -117,16 +120,14 @@
     name: String,
     addr: SocketAddr,
     in_service: bool,
-    /// Its actor begins with the first work for it: of a long list, most instances are never asked here.
-    actor: Option<Sender<PeerMessage<W>>>,
+    /// Its peer begins with the first work for it: of a long list, most instances are never asked here.
+    peer: Option<(PeerId, ToPeers<W>)>,
 }
 
 impl<W: Wire> Peer<W> {
-    /// Tells its actor, if it has begun.
-    fn tell(&self, message: PeerMessage<W>) {
-        if let Some(actor) = &self.actor {
-            _ = actor.try_send(message);
-        }
+    /// Tells its peer, if that has begun; `false` where it can't be told.
+    fn tell(&self, message: PeerMessage<W>) -> bool {
+        self.peer.as_ref().is_some_and(|(id, peers)| peers.try_send((*id, message)).is_ok())
     }
 
     fn in_service(&mut self, yes: bool) {
@@ -170,6 +171,9 @@
     clock: Clock,
     own: Sender<Message<W>>,
     links: Arc<AtomicUsize>,
+    /// The actor of all peers begins with the first of them.
+    peers: Option<ToPeers<W>>,
+    next_peer: PeerId,
     writes: Vec<bool>,
     ids: HashMap<String, MemberId>,
     members: HashMap<MemberId, Peer<W>>,
@@ -233,7 +237,7 @@
                 self.feed(Event::Probed { member, outcome, report });
             }
             Message::Crowded { keep } => {
-                self.members.values().for_each(|m| m.tell(PeerMessage::Trim { keep }));
+                self.members.values().for_each(|m| _ = m.tell(PeerMessage::Trim { keep }));
             }
             Message::List(news) => self.list(news),
         }
@@ -273,7 +277,7 @@
                 MemberId(self.next_member)
             });
             if e.state != MemberState::Gone {
-                let peer = || Peer { name: e.id.clone(), addr: e.addr, in_service: true, actor: None };
+                let peer = || Peer { name: e.id.clone(), addr: e.addr, in_service: true, peer: None };
                 self.members.entry(id).or_insert_with(peer);
             }
             if known.is_none() {
@@ -380,21 +384,28 @@
         }
     }
 
-    /// Hands work to an instance's actor, which begins with the first; `false` where it can't be.
+    /// Hands work to an instance's peer, which begins with the first; `false` where it can't be.
     fn hand(&mut self, member: MemberId, work: PeerMessage<W>) -> bool {
         let Some(m) = self.members.get_mut(&member) else { return false };
-        if m.actor.is_none() {
-            let (wire, limits, links) = (self.wire.clone(), self.limits.clone(), self.links.clone());
-            match peer::start(wire, member, m.addr, limits, self.own.clone(), links) {
-                Ok(actor) => {
-                    m.actor = Some(actor);
-                    let in_service = m.in_service;
-                    m.in_service(in_service);
+        if m.peer.is_none() {
+            if self.peers.is_none() {
+                let (wire, limits, links) = (self.wire.clone(), self.limits.clone(), self.links.clone());
+                match peer::start(wire, limits, self.own.clone(), links) {
+                    Ok(peers) => self.peers = Some(peers),
+                    Err(e) => tracing::error!("list: no thread for the instances: {e}"),
                 }
-                Err(e) => tracing::error!("list: no thread for instance {}: {e}", m.name),
             }
+            let Some(peers) = self.peers.clone() else { return false };
+            self.next_peer += 1;
+            m.peer = Some((self.next_peer, peers));
+            if !m.tell(PeerMessage::Start { member, addr: m.addr }) {
+                m.peer = None;
+                return false;
+            }
+            let in_service = m.in_service;
+            m.in_service(in_service);
         }
-        m.actor.as_ref().is_some_and(|actor| actor.try_send(work).is_ok())
+        m.tell(work)
     }
 
     fn send(&mut self, request: RequestId, member: MemberId, timeout: Micros) {
--- a/routing/src/peer.rs
+++ b/routing/src/peer.rs
@@ -1,11 +1,12 @@
-//! The actor of one instance: it owns the links to it, reuses the warm ones and retires them before the
-//! instance would.
-use crate::messages::{Key, Message, PeerMessage};
+//! The actor of all instances: for each it owns the links to it, reuses the warm ones and retires them before the
+//! instance would. One thread does for all: a router of a large fleet meets most instances seldom.
+use crate::messages::{Key, Message, PeerId, PeerMessage};
 use crate::spawn;
 use crate::wire::{Link, Reply, Stop, Unsent, Wire, Work};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use decision::{MemberId, Outcome};
 use settings::Limits;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -46,9 +47,13 @@
     open: Arc<AtomicUsize>,
 }
 
+/// To the actor of all peers: for which, and what.
+pub type ToPeers<W> = Sender<(PeerId, PeerMessage<W>)>;
+
 struct Peer<W: Wire> {
+    id: PeerId,
     shared: Arc<Shared<W>>,
-    own: Sender<PeerMessage<W>>,
+    own: ToPeers<W>,
     in_service: bool,
     busy: Vec<Busy<W>>,
     /// The warmest last.
@@ -56,64 +61,102 @@
     next: u64,
 }
 
-/// Starts the actor of an instance. It ends when it is told that it is forgotten.
+struct Peers<W: Wire> {
+    wire: Arc<W>,
+    limits: Arc<Limits>,
+    module: Sender<Message<W>>,
+    /// Links of all peers together.
+    open: Arc<AtomicUsize>,
+    own: ToPeers<W>,
+    peers: HashMap<PeerId, Peer<W>>,
+}
+
+/// Starts the actor of all instances.
 pub fn start<W: Wire>(
     wire: Arc<W>,
-    member: MemberId,
-    addr: SocketAddr,
     limits: Arc<Limits>,
     module: Sender<Message<W>>,
     open: Arc<AtomicUsize>,
-) -> std::io::Result<Sender<PeerMessage<W>>> {
+) -> std::io::Result<ToPeers<W>> {
     let (own, mailbox) = bounded(limits.mailbox);
     let (to, stack) = (own.clone(), limits.stack_bytes);
-    let shared = Arc::new(Shared { wire, member, addr, limits, module, open });
     spawn("peer", stack, move || {
-        let peer = Peer { shared, own, in_service: true, busy: Vec::new(), idle: Vec::new(), next: 0 };
-        peer.run(&mailbox);
+        Peers { wire, limits, module, open, own, peers: HashMap::new() }.run(&mailbox);
     })?;
     Ok(to)
 }
 
-impl<W: Wire> Peer<W> {
-    fn run(mut self, mailbox: &Receiver<PeerMessage<W>>) {
+impl<W: Wire> Peers<W> {
+    fn run(mut self, mailbox: &Receiver<(PeerId, PeerMessage<W>)>) {
+        let every = self.limits.link_idle / 4;
+        let mut tidied = Instant::now();
         loop {
-            match mailbox.recv_timeout(self.shared.limits.link_idle / 4) {
-                Ok(PeerMessage::Attempt(key, payload, until)) => {
-                    self.begin(Task::Attempt(key, payload, until));
-                }
-                Ok(PeerMessage::Probe) => self.begin(Task::Probe),
-                Ok(PeerMessage::Abandon(key)) => {
-                    self.busy.iter().filter(|b| b.key == Some(key)).for_each(|b| b.stop.stop());
-                }
-                Ok(PeerMessage::InService(yes)) => {
-                    self.in_service = yes;
-                    if !yes {
-                        // An attempt that still waits for its connection would arrive after the news.
-                        self.busy.iter().for_each(|b| b.stop.stop_unless_begun());
-                        self.idle.clear();
+            match mailbox.recv_timeout(every.saturating_sub(tidied.elapsed())) {
+                Ok((id, PeerMessage::Start { member, addr })) => self.begin(id, member, addr),
+                // What comes for one that is forgotten is an end of its links' work.
+                Ok((id, PeerMessage::Forgotten)) => {
+                    if let Some(peer) = self.peers.remove(&id) {
+                        peer.busy.iter().for_each(|b| b.stop.stop_unless_begun());
                     }
                 }
-                Ok(PeerMessage::Ended { link, reusable }) => self.ended(link, reusable),
-                Ok(PeerMessage::Trim { keep }) => {
-                    let least = self.shared.limits.link_idle_least;
-                    let mut spare = self.idle.len().saturating_sub(keep);
-                    self.idle.retain(|l| {
-                        let goes = spare > 0 && l.since.elapsed() >= least;
-                        spare -= usize::from(goes);
-                        !goes
-                    });
-                }
-                Ok(PeerMessage::Forgotten) => {
-                    self.busy.iter().for_each(|b| b.stop.stop_unless_begun());
-                    return;
+                Ok((id, message)) => {
+                    if let Some(peer) = self.peers.get_mut(&id) {
+                        peer.take(message);
+                    }
                 }
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            let oldest = self.shared.limits.link_idle;
-            self.idle.retain(|l| l.since.elapsed() < oldest);
+            if tidied.elapsed() >= every {
+                tidied = Instant::now();
+                self.peers.values_mut().for_each(Peer::tidy);
+            }
+        }
+    }
+
+    fn begin(&mut self, id: PeerId, member: MemberId, addr: SocketAddr) {
+        let (wire, limits, module) = (self.wire.clone(), self.limits.clone(), self.module.clone());
+        let shared = Arc::new(Shared { wire, member, addr, limits, module, open: self.open.clone() });
+        let (busy, idle, own) = (Vec::new(), Vec::new(), self.own.clone());
+        self.peers.insert(id, Peer { id, shared, own, in_service: true, busy, idle, next: 0 });
+    }
+}
+
+impl<W: Wire> Peer<W> {
+    fn take(&mut self, message: PeerMessage<W>) {
+        match message {
+            PeerMessage::Attempt(key, payload, until) => self.begin(Task::Attempt(key, payload, until)),
+            PeerMessage::Probe => self.begin(Task::Probe),
+            PeerMessage::Abandon(key) => {
+                self.busy.iter().filter(|b| b.key == Some(key)).for_each(|b| b.stop.stop());
+            }
+            PeerMessage::InService(yes) => {
+                self.in_service = yes;
+                if !yes {
+                    // An attempt that still waits for its connection would arrive after the news.
+                    self.busy.iter().for_each(|b| b.stop.stop_unless_begun());
+                    self.idle.clear();
+                }
+            }
+            PeerMessage::Ended { link, reusable } => self.ended(link, reusable),
+            PeerMessage::Trim { keep } => {
+                let least = self.shared.limits.link_idle_least;
+                let mut spare = self.idle.len().saturating_sub(keep);
+                self.idle.retain(|l| {
+                    let goes = spare > 0 && l.since.elapsed() >= least;
+                    spare -= usize::from(goes);
+                    !goes
+                });
+            }
+            // These are the business of all peers' actor.
+            PeerMessage::Start { .. } | PeerMessage::Forgotten => {}
         }
+        self.tidy();
+    }
+
+    fn tidy(&mut self) {
+        let oldest = self.shared.limits.link_idle;
+        self.idle.retain(|l| l.since.elapsed() < oldest);
     }
 
     fn begin(&mut self, task: Task<W>) {
@@ -148,13 +191,13 @@
         let (link, stop) = (self.next, job.stop.clone());
         self.next += 1;
         let (jobs, incoming) = bounded(1);
-        let (shared, peer) = (self.shared.clone(), self.own.clone());
+        let (shared, peer, of) = (self.shared.clone(), self.own.clone(), self.id);
         // The job goes through the channel, so that it is still here if no thread can be started.
         _ = jobs.send(job);
         let back = incoming.clone();
         let started = spawn("link", limits.stack_bytes, move || {
             let _counted = counted;
-            run_link(&shared, &peer, link, &incoming);
+            run_link(&shared, &peer, (of, link), &incoming);
         });
         match started {
             Ok(()) => self.busy.push(Busy { link, key, stop, jobs }),
@@ -204,7 +247,12 @@
 }
 
 /// Carries jobs one after the other on one connection, until that breaks or the peer lets go of it.
-fn run_link<W: Wire>(shared: &Shared<W>, peer: &Sender<PeerMessage<W>>, id: u64, jobs: &Receiver<Job<W>>) {
+fn run_link<W: Wire>(
+    shared: &Shared<W>,
+    peer: &ToPeers<W>,
+    (of, id): (PeerId, u64),
+    jobs: &Receiver<Job<W>>,
+) {
     let (mut link, mut answered): (Option<W::Link>, _) = (None, Instant::now());
     while let Ok(job) = jobs.recv() {
         // What comes right behind an answer has to be there before the link is looked at.
@@ -216,7 +264,7 @@
         answered = Instant::now();
         let reusable = reply.reusable && link.is_some();
         // The peer hears first: the module's next attempt finds this link idle.
-        let kept = peer.send(PeerMessage::Ended { link: id, reusable }).is_ok();
+        let kept = peer.send((of, PeerMessage::Ended { link: id, reusable })).is_ok();
         shared.report(&job.task, reply);
         if !(reusable && kept) {
             return;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -537,6 +537,8 @@
     let tasks = std::fs::read_dir(format!("/proc/{id}/task")).unwrap();
     let names = tasks.filter_map(|t| std::fs::read_to_string(t.ok()?.path().join("comm")).ok());
     let mut names: Vec<String> = names.map(|n| n.trim().to_string()).collect();
+    // Both instances have been asked; sixty would cost no thread more, nor its mailbox.
+    assert_eq!(names.iter().filter(|n| *n == "peer").count(), 1, "{names:?}");
     names.sort();
     names.dedup();
     // Sessions, store, journals, clocks and the log have no thread here; a client's comes and goes.
