Let a member's denial hold a second when a request goes round for the primary

At fault: the 100 ms in choose_primary(), shorter than what learn() grants an answer's note; both are NOTE_HOLDS connect time-outs now.

--- a/decision/src/decide.rs
+++ b/decision/src/decide.rs
@@ -544,7 +544,8 @@
         // none; after one round of misses the search is left to probes. Reads do so only where members check.
         let misses = open.count(Outcome::Miss);
         let checked = self.settings.when_behind != WhenBehind::Answers;
-        let denied = |m: &MemberId| self.now.0 - self.members[m].demoted.0 < PROBE_GAP;
+        let holds = NOTE_HOLDS * self.settings.connect_timeout;
+        let denied = |m: &MemberId| self.now.0 - self.members[m].demoted.0 < holds;
         if (checked || self.class(open).freshness == Freshness::Write)
             && open.attempts.len() == misses
             && misses + 1 < self.settings.max_attempts as usize
