Test that a member's denial holds a second for the round

The round's test now asks again after 500 ms; with the 100 ms of before it fails there, with a second it passes.

--- a/decision/tests/failures.rs
+++ b/decision/tests/failures.rs
@@ -610,6 +610,8 @@
     assert!(!refused(&out, id) && !failed(&out, id));
     // The next write does not ask again those that have just said no.
     assert!(sends(&b.ask(0, None).1).is_empty());
+    b.now += 500 * MS;
+    assert!(sends(&b.ask(0, None).1).is_empty(), "their word holds a second");
     // Another's answer tells who took over, and what waits goes there.
     b.now += 20 * MS;
     let out = b.probed(2, true, 0);
