Let MySQL links rest no longer than they are trusted

At fault: settings/src/operator.rs took link_idle as it came. It is link_trust there now, as it was before; a test of the operator's example fails without it.

With it, one fixture for two tests of the round, and one condition of choose_read() named once.

--- a/decision/src/decide.rs
+++ b/decision/src/decide.rs
@@ -628,7 +628,7 @@
         // Where members check, their first answer tells as much as a probe. Where they don't, one whose
         // probes fail may serve a class that bears any age.
         let checked = self.settings.when_behind != WhenBehind::Answers;
-        let proof = self.settings.when_behind == WhenBehind::Answers && need.is_some();
+        let proof = !checked && need.is_some();
         let known =
             |m: &Member| m.role_known || (!proof && (m.probes_failed > 0 || checked && !m.listed_primary));
         let (fresh, behind): (Vec<MemberId>, Vec<MemberId>) = members
--- a/decision/tests/failures.rs
+++ b/decision/tests/failures.rs
@@ -573,12 +573,18 @@
     s
 }
 
-#[test]
-fn where_members_check_a_fresh_router_learns_from_answers_and_not_from_a_probe_of_each() {
+/// A fresh router that was told of member 0 as the primary and of two replicas.
+fn listed() -> Bench {
     let mut b = Bench::new(checked());
     let mut entries: Vec<MemberEntry> = (0..3).map(entry).collect();
     entries[0].listed_primary = true;
     b.event(Event::Members { complete: true, entries });
+    b
+}
+
+#[test]
+fn where_members_check_a_fresh_router_learns_from_answers_and_not_from_a_probe_of_each() {
+    let mut b = listed();
     let (read, out) = b.ask(4, None);
     let to = sends(&out);
     assert_eq!((to.len(), probes(&out).len()), (1, 0), "a hundred routers would ask sixty members each");
@@ -593,10 +599,7 @@
 
 #[test]
 fn a_write_goes_round_the_members_once_and_then_waits() {
-    let mut b = Bench::new(checked());
-    let mut entries: Vec<MemberEntry> = (0..3).map(entry).collect();
-    entries[0].listed_primary = true;
-    b.event(Event::Members { complete: true, entries });
+    let mut b = listed();
     let (id, mut out) = b.ask(0, None);
     let note = Report { primary: Some(false), position: None };
     let mut asked = Vec::new();
--- a/settings/src/operator.rs
+++ b/settings/src/operator.rs
@@ -422,6 +422,8 @@
     // MySQL's clients keep sessions with prepared statements: they may rest for as long as at a server.
     limits.client_idle = Duration::from_secs(8 * 3600);
     limits.client_first = limits.client_idle;
+    // Its links are not asked across: one that could not be used any more must not keep a server's place.
+    limits.link_idle = limits.link_trust;
     limits.clock_skew =
         Duration::from_secs_f64(or(v, "clock_skew_ms", 50.0, positive)?.min(60_000.0) / 1000.0);
     limits.clock_offset_us =
@@ -671,3 +673,12 @@
     let record = v.get("record").map(record).transpose().map_err(|e: String| format!("record: {e}"))?;
     Ok(Operator { record, log, registry, sessions, store, mysql, settings, limits, said: v })
 }
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn links_that_are_not_asked_across_rest_no_longer_than_they_are_trusted() {
+        let limits = super::read(include_str!("../../deploy/mysql.toml")).unwrap().limits;
+        assert_eq!(limits.link_idle, limits.link_trust);
+    }
+}
