Give a link a thread only while it carries work; resting links park with the peer

Descriptors ~100 and "20948 at once" to servers: one thread for every warm link, blocked in jobs.recv() in run_link (routing/src/peer.rs) while the link rests. Client threads and the fixed actors are a few per router; ruled out as the bulk.

Change: a link that takes more work hands its connection back to the peers' actor (Parked: connection, time of last answer, its count in the bound of links). The next job starts a thread with the parked connection; the thread ends with the job. Settling before reuse, trimming, aging and the order "peer hears first, then the module" are as before.

--- a/routing/src/messages.rs
+++ b/routing/src/messages.rs
@@ -99,12 +99,12 @@
     },
     /// The module has no more use for it.
     Forgotten,
-    /// A link has ended its work; it waits for more if it can.
+    /// A link has ended its work; it rests with the peer if it takes more.
     Ended {
         /// Which link.
         link: u64,
-        /// It takes more work.
-        reusable: bool,
+        /// The connection, where it takes more work.
+        kept: Option<crate::peer::Parked<W>>,
     },
 }
 
--- a/routing/src/peer.rs
+++ b/routing/src/peer.rs
@@ -1,5 +1,9 @@
 //! The actor of all instances: for each it owns the links to it, reuses the warm ones and retires them before the
 //! instance would. One thread does for all: a router of a large fleet meets most instances seldom.
+//!
+//! A link has a thread only while it carries work; one that rests is parked here with its connection. A router
+//! keeps a warm link to most instances it meets, and hundreds of routers on one host each holding a thread for every
+//! resting link run the host out of threads.
 use crate::messages::{Key, Message, PeerId, PeerMessage};
 use crate::spawn;
 use crate::wire::{Link, Reply, Stop, Unsent, Wire, Work};
@@ -22,18 +26,24 @@
     stop: Stop,
 }
 
-struct Busy<W: Wire> {
+struct Busy {
     link: u64,
     /// `None` for a probe.
     key: Option<Key>,
     stop: Stop,
-    jobs: Sender<Job<W>>,
+}
+
+/// A connection that rests between jobs, with no thread of its own.
+pub struct Parked<W: Wire> {
+    link: W::Link,
+    /// When its last answer came.
+    since: Instant,
+    _counted: Counted,
 }
 
 struct Idle<W: Wire> {
     link: u64,
-    since: Instant,
-    jobs: Sender<Job<W>>,
+    parked: Parked<W>,
 }
 
 /// What a peer and its links share.
@@ -55,7 +65,7 @@
     shared: Arc<Shared<W>>,
     own: ToPeers<W>,
     in_service: bool,
-    busy: Vec<Busy<W>>,
+    busy: Vec<Busy>,
     /// The warmest last.
     idle: Vec<Idle<W>>,
     next: u64,
@@ -138,12 +148,12 @@
                     self.idle.clear();
                 }
             }
-            PeerMessage::Ended { link, reusable } => self.ended(link, reusable),
+            PeerMessage::Ended { link, kept } => self.ended(link, kept),
             PeerMessage::Trim { keep } => {
                 let least = self.shared.limits.link_idle_least;
                 let mut spare = self.idle.len().saturating_sub(keep);
                 self.idle.retain(|l| {
-                    let goes = spare > 0 && l.since.elapsed() >= least;
+                    let goes = spare > 0 && l.parked.since.elapsed() >= least;
                     spare -= usize::from(goes);
                     !goes
                 });
@@ -156,7 +166,7 @@
 
     fn tidy(&mut self) {
         let oldest = self.shared.limits.link_idle;
-        self.idle.retain(|l| l.since.elapsed() < oldest);
+        self.idle.retain(|l| l.parked.since.elapsed() < oldest);
     }
 
     fn begin(&mut self, task: Task<W>) {
@@ -168,13 +178,9 @@
         if !self.in_service {
             return self.shared.report(&task, Reply::bare(Outcome::Moot));
         }
-        let mut job = Job { task, stop: Stop::default() };
-        while let Some(Idle { link, jobs, .. }) = self.rested() {
-            let stop = job.stop.clone();
-            match jobs.send(job) {
-                Ok(()) => return self.busy.push(Busy { link, key, stop, jobs }),
-                Err(back) => job = back.0,
-            }
+        let job = Job { task, stop: Stop::default() };
+        if let Some(Idle { link, parked }) = self.rested() {
+            return self.carry_on(link, key, job, Some(parked.link), parked.since, parked._counted);
         }
         let limits = &self.shared.limits;
         let taken = self.shared.open.fetch_add(1, Ordering::Relaxed);
@@ -188,19 +194,34 @@
         if taken >= limits.link_connections || self.busy.len() >= limits.links_per_peer {
             return self.shared.report(&job.task, Reply::bare(Outcome::Moot));
         }
-        let (link, stop) = (self.next, job.stop.clone());
+        let link = self.next;
         self.next += 1;
-        let (jobs, incoming) = bounded(1);
-        let (shared, peer, of) = (self.shared.clone(), self.own.clone(), self.id);
+        self.carry_on(link, key, job, None, Instant::now(), counted);
+    }
+
+    /// Gives one job to a thread of its own, on the parked connection if there is one.
+    fn carry_on(
+        &mut self,
+        link: u64,
+        key: Option<Key>,
+        job: Job<W>,
+        open: Option<W::Link>,
+        answered: Instant,
+        counted: Counted,
+    ) {
+        let stop = job.stop.clone();
         // The job goes through the channel, so that it is still here if no thread can be started.
+        let (jobs, incoming) = bounded(1);
         _ = jobs.send(job);
         let back = incoming.clone();
-        let started = spawn("link", limits.stack_bytes, move || {
-            let _counted = counted;
-            run_link(&shared, &peer, (of, link), &incoming);
+        let (shared, peer, of) = (self.shared.clone(), self.own.clone(), self.id);
+        let started = spawn("link", self.shared.limits.stack_bytes, move || {
+            if let Ok(job) = incoming.try_recv() {
+                run_link(&shared, &peer, (of, link), job, (open, answered), counted);
+            }
         });
         match started {
-            Ok(()) => self.busy.push(Busy { link, key, stop, jobs }),
+            Ok(()) => self.busy.push(Busy { link, key, stop }),
             Err(e) => {
                 tracing::error!("peer {}: no thread for a link: {e}", self.shared.addr);
                 if let Ok(job) = back.try_recv() {
@@ -213,21 +234,21 @@
     /// The warmest link that has rested long enough to be looked at, or else the one that will have soonest.
     fn rested(&mut self) -> Option<Idle<W>> {
         let least = self.shared.limits.link_settle;
-        let at = self.idle.iter().rposition(|l| l.since.elapsed() >= least);
+        let at = self.idle.iter().rposition(|l| l.parked.since.elapsed() >= least);
         (!self.idle.is_empty()).then(|| self.idle.remove(at.unwrap_or(0)))
     }
 
-    fn ended(&mut self, link: u64, reusable: bool) {
+    fn ended(&mut self, link: u64, kept: Option<Parked<W>>) {
         let Some(at) = self.busy.iter().position(|b| b.link == link) else { return };
-        let Busy { jobs, .. } = self.busy.swap_remove(at);
-        if reusable && self.in_service {
-            self.idle.push(Idle { link, since: Instant::now(), jobs });
+        self.busy.swap_remove(at);
+        if let Some(parked) = kept.filter(|_| self.in_service) {
+            self.idle.push(Idle { link, parked });
         }
     }
 }
 
 /// Counts a link while it lives.
-struct Counted(Arc<AtomicUsize>);
+pub struct Counted(Arc<AtomicUsize>);
 
 impl Drop for Counted {
     fn drop(&mut self) {
@@ -246,30 +267,26 @@
     }
 }
 
-/// Carries jobs one after the other on one connection, until that breaks or the peer lets go of it.
+/// Carries one job on the parked connection or a new one, then hands a connection that takes more back to the peer.
 fn run_link<W: Wire>(
     shared: &Shared<W>,
     peer: &ToPeers<W>,
     (of, id): (PeerId, u64),
-    jobs: &Receiver<Job<W>>,
+    job: Job<W>,
+    (mut link, answered): (Option<W::Link>, Instant),
+    counted: Counted,
 ) {
-    let (mut link, mut answered): (Option<W::Link>, _) = (None, Instant::now());
-    while let Ok(job) = jobs.recv() {
-        // What comes right behind an answer has to be there before the link is looked at.
-        let rest = shared.limits.link_settle.saturating_sub(answered.elapsed());
-        if link.is_some() && !rest.is_zero() {
-            std::thread::sleep(rest);
-        }
-        let reply = carry(shared, &mut link, answered, &job);
-        answered = Instant::now();
-        let reusable = reply.reusable && link.is_some();
-        // The peer hears first: the module's next attempt finds this link idle.
-        let kept = peer.send((of, PeerMessage::Ended { link: id, reusable })).is_ok();
-        shared.report(&job.task, reply);
-        if !(reusable && kept) {
-            return;
-        }
+    // What comes right behind an answer has to be there before the link is looked at.
+    let rest = shared.limits.link_settle.saturating_sub(answered.elapsed());
+    if link.is_some() && !rest.is_zero() {
+        std::thread::sleep(rest);
     }
+    let reply = carry(shared, &mut link, answered, &job);
+    let since = Instant::now();
+    let kept = link.filter(|_| reply.reusable).map(|link| Parked { link, since, _counted: counted });
+    // The peer hears first: the module's next attempt finds this link idle.
+    _ = peer.send((of, PeerMessage::Ended { link: id, kept }));
+    shared.report(&job.task, reply);
 }
 
 /// One job on the link at hand, or on a new one. A pooled connection that broke before the last byte was
