Test that a resting link stays warm while no thread is left for it

The test starts the router against a stand-in primary and replica, waits until no thread named "link" is left in /proc/<pid>/task, then asks a read on a fresh client and sees that the replica took no new connection (tried again if a probe held the warm link at that moment).

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -712,3 +712,34 @@
         assert_eq!(router.ended().0, Some(1));
     }
 }
+
+/// Threads of the program's that are named so.
+fn threads(program: &Program, name: &str) -> usize {
+    let tasks = std::fs::read_dir(format!("/proc/{}/task", program.child.id())).unwrap();
+    let named = |t: &std::fs::DirEntry| {
+        std::fs::read_to_string(t.path().join("comm")).is_ok_and(|c| c.trim() == name)
+    };
+    tasks.flatten().filter(named).count()
+}
+
+#[test]
+fn a_resting_link_stays_warm_without_a_thread() {
+    // Hundreds of routers on one host, each with a thread for every warm link, run the host out of threads.
+    let site = Site::start();
+    let begun = Instant::now();
+    loop {
+        assert!(begun.elapsed() < LONG, "{} link threads while links rest", threads(&site.router, "link"));
+        if threads(&site.router, "link") > 0 {
+            std::thread::yield_now();
+            continue;
+        }
+        // Nothing carries work now; the next read goes on a link that rested, not on a new connection. A probe
+        // that has just taken the warm link may make one: then it is tried once more.
+        let client = Client::connect(site.addr);
+        let opened = site.replica.0.connections.load(Ordering::SeqCst);
+        assert_eq!(client.ask(&select("rest", 1900)), served("replica"));
+        if site.replica.0.connections.load(Ordering::SeqCst) == opened {
+            return;
+        }
+    }
+}
