Count a fleet's logs in damsonvale-lab instead of a Python script

Change: `damsonvale-lab count FOLDER` reads every *.log (one router each, DAMSONVALE_LOG=debug, lines led by the bench's second) and prints, over all routers and second by second: requests, attempts, outcomes, connections opened and failed, probes by what the last probe of that member showed, refusals and failures by class and by whether an attempt had gone out. A unit test plays a small log.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! Plays experiments on emulated fleets, and turns them into tables and charts that can be compared.
 mod chart;
+mod count;
 mod load;
 mod run;
 mod table;
@@ -33,6 +34,8 @@
     },
     /// Prints a plan with every key and its default, to begin from.
     Plan,
+    /// Counts what a fleet did, second by second, from its routers' logs (`--logs` of the bench).
+    Count(count::Count),
 }
 
 fn main() -> ExitCode {
@@ -41,6 +44,7 @@
         Command::Sweep(asked) => run::sweep(&asked),
         Command::Load(asked) => load::run(&asked),
         Command::Compare { before, after } => run::compare(&before, &after),
+        Command::Count(asked) => count::run(&asked),
         Command::Plan => toml::to_string(&emulator::Plan::default())
             .map_err(|e| e.to_string())
             .map(|text| print!("{text}")),
