--- a/lab/tests/tool.rs
+++ b/lab/tests/tool.rs
@@ -130,3 +130,21 @@
             .contains("SHARE:STATEMENT")
     );
 }
+
+#[test]
+fn the_standing_days_keep_the_rules_in_a_short_form() {
+    // 300 routers on 120 nodes as on the bench, with a seventh of the load so that it stays short in CI.
+    let folder = Folder::new("mass");
+    let plans = Path::new(env!("CARGO_MANIFEST_DIR")).join("plans");
+    for day in ["herd", "roll", "zone"] {
+        let text = std::fs::read_to_string(plans.join(format!("mass-{day}.toml"))).unwrap();
+        assert!(text.contains("routers = 300\n") && text.contains("rate = 4200\n"), "{day}");
+        let plan = folder.text(&format!("{day}.toml"));
+        std::fs::write(&plan, text.replace("rate = 4200\n", "rate = 600\n")).unwrap();
+        let (code, said) = lab(&["run", &plan, "--out", &folder.text(day)]);
+        assert!(
+            code == Some(0) && said.contains(&format!("mass-{day}, seed 1")) && said.contains("kept"),
+            "{said}"
+        );
+    }
+}
