Take an instance's 57P03 for a refusal that ran nothing, as 53300 is

Cause: PROTOCOL says "An answer of 53300 or 57P03 is a refusal, whoever worded it"; the platform's link (postgres/src/link.rs, the match on the error's code in carry) mapped only 53300 to Outcome::Full and 57P03 to Outcome::Error. Error counts as "may have run": a write refused with 57P03 would be failed instead of tried elsewhere, and two such answers end a request (ERRORS_OF_REQUEST).

Checked: at the opening of a connection 57P03 is already a failed connect (nothing ran), and stays so, since two in a row is how a member that has just started is told.

Test a_refusal_in_either_code_is_one_that_ran_nothing: 53300 and 57P03 are Full, XX000 an Error; with the old line it fails on 57P03.

--- a/postgres/src/link.rs
+++ b/postgres/src/link.rs
@@ -260,7 +260,8 @@
             Come::Whole => Outcome::Ok,
             Come::Error(code) => match code.as_str() {
                 "25006" | "72000" => Outcome::Miss,
-                "53300" => Outcome::Full,
+                // Both are refusals, whoever words them (PROTOCOL): nothing ran, and trying again is harmless.
+                "53300" | "57P03" => Outcome::Full,
                 _ => Outcome::Error,
             },
             _ => broken,
@@ -345,4 +346,20 @@
         let short = Limits::new(384, 48 << 20, Duration::from_millis(250), Duration::from_secs(2), thirty);
         assert!(short.link_idle < Duration::from_secs(2) && short.link_trust <= short.link_idle);
     }
+
+    #[test]
+    fn a_refusal_in_either_code_is_one_that_ran_nothing() {
+        let refusal = |code: &str| {
+            let body = format!("SERROR\0C{code}\0Mnot now\0\0");
+            let head = [&b"E"[..], &(body.len() as u32 + 4).to_be_bytes()].concat();
+            Box::leak([head, body.into_bytes(), b"Z\0\0\0\x05I".to_vec()].concat().into_boxed_slice())
+        };
+        for (code, outcome) in [("53300", Outcome::Full), ("57P03", Outcome::Full), ("XX000", Outcome::Error)]
+        {
+            let answers: &'static [&'static [u8]] = Box::leak(Box::new([&*refusal(code)]));
+            let (mut l, _hears) = link(answers);
+            let reply = l.carry(Work::Probe, &Stop::default()).ok().unwrap();
+            assert_eq!(reply.outcome, outcome, "{code}");
+        }
+    }
 }
