Test that a list of none is refused at once and one of ten thousand costs no thread each

The test sends the router a whole list with no entries: a read is refused with an error well before its deadline. Then a whole list of 10,000 (the stand-in primary and replica, and 9,998 others in other cells): the replica serves again, the router has fewer than 8 threads for peers and links, and under 64 MB resident.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -743,3 +743,41 @@
         }
     }
 }
+
+#[test]
+fn a_list_of_ten_thousand_or_of_none_is_taken_in_time() {
+    let site = Site::start();
+    let mut router = site.router;
+    let client = Client::connect(site.addr);
+    let (_, lines) = site.discovery.watch();
+    router.logged("version 41");
+    let news =
+        |version: u32, entries: &[Value]| json!({"version": version, "full": true, "servers": entries});
+    // None at all: nothing is sent anywhere, and the client hears so at once rather than at its deadline.
+    lines.send(news(42, &[]).to_string()).unwrap();
+    router.logged("version 42");
+    let begun = Instant::now();
+    assert!(matches!(client.ask(&select("none", 1900)), Answer::Error(..)));
+    assert!(begun.elapsed().as_millis() < 1900, "{:?}", begun.elapsed());
+    // Ten thousand, of which two are met: they serve as before, and the others cost no thread each.
+    let mut entries = vec![site.primary.0.entry("in_service"), site.replica.0.entry("in_service")];
+    entries.extend((0..9_998).map(|i| {
+        json!({"id": format!("far-{i}"), "addr": "127.0.0.1:9", "zone": "a", "kind": "k", "cell": 100 + i,
+            "state": "in_service", "weight": 1.0, "started_ms": 0, "mode": "read-only"})
+    }));
+    lines.send(news(43, &entries).to_string()).unwrap();
+    router.logged("version 43");
+    client.until(&select("many", 1900), "replica");
+    assert!(threads(&router, "link") + threads(&router, "peer") < 8);
+    let status = std::fs::read_to_string(format!("/proc/{}/status", router.child.id())).unwrap();
+    let kb: u64 = status
+        .lines()
+        .find_map(|l| l.strip_prefix("VmRSS:"))
+        .unwrap()
+        .trim()
+        .trim_end_matches(" kB")
+        .trim()
+        .parse()
+        .unwrap();
+    assert!(kb < 64 << 10, "{kb} kB");
+}
