Hand a link's thread one parked link instead of its connection, time and count apart

Cause: reading the change since again, carry_on and run_link took a connection, the time of its last answer and its place in the bound of links as three loose arguments, and the field holding that place was named as unused (_counted) though it is read.

Change: Parked holds an Option of the connection (none yet for a new link), the time of its last answer and its count; a new link starts as a Parked without a connection, and the thread hands one back only when it still has a connection that takes more. No behaviour changes.

--- a/routing/src/peer.rs
+++ b/routing/src/peer.rs
@@ -33,12 +33,12 @@
     stop: Stop,
 }
 
-/// A connection that rests between jobs, with no thread of its own.
+/// A link between jobs, with no thread of its own: its connection (none yet for a new one), when that last
+/// answered, and its place in the bound of links.
 pub struct Parked<W: Wire> {
-    link: W::Link,
-    /// When its last answer came.
+    link: Option<W::Link>,
     since: Instant,
-    _counted: Counted,
+    counted: Counted,
 }
 
 struct Idle<W: Wire> {
@@ -180,7 +180,7 @@
         }
         let job = Job { task, stop: Stop::default() };
         if let Some(Idle { link, parked }) = self.rested() {
-            return self.carry_on(link, key, job, Some(parked.link), parked.since, parked._counted);
+            return self.carry_on(link, key, job, parked);
         }
         let limits = &self.shared.limits;
         let taken = self.shared.open.fetch_add(1, Ordering::Relaxed);
@@ -196,19 +196,11 @@
         }
         let link = self.next;
         self.next += 1;
-        self.carry_on(link, key, job, None, Instant::now(), counted);
+        self.carry_on(link, key, job, Parked { link: None, since: Instant::now(), counted });
     }
 
     /// Gives one job to a thread of its own, on the parked connection if there is one.
-    fn carry_on(
-        &mut self,
-        link: u64,
-        key: Option<Key>,
-        job: Job<W>,
-        open: Option<W::Link>,
-        answered: Instant,
-        counted: Counted,
-    ) {
+    fn carry_on(&mut self, link: u64, key: Option<Key>, job: Job<W>, parked: Parked<W>) {
         let stop = job.stop.clone();
         // The job goes through the channel, so that it is still here if no thread can be started.
         let (jobs, incoming) = bounded(1);
@@ -217,7 +209,7 @@
         let (shared, peer, of) = (self.shared.clone(), self.own.clone(), self.id);
         let started = spawn("link", self.shared.limits.stack_bytes, move || {
             if let Ok(job) = incoming.try_recv() {
-                run_link(&shared, &peer, (of, link), job, (open, answered), counted);
+                run_link(&shared, &peer, (of, link), job, parked);
             }
         });
         match started {
@@ -273,8 +265,7 @@
     peer: &ToPeers<W>,
     (of, id): (PeerId, u64),
     job: Job<W>,
-    (mut link, answered): (Option<W::Link>, Instant),
-    counted: Counted,
+    Parked { mut link, since: answered, counted }: Parked<W>,
 ) {
     // What comes right behind an answer has to be there before the link is looked at.
     let rest = shared.limits.link_settle.saturating_sub(answered.elapsed());
@@ -283,7 +274,7 @@
     }
     let reply = carry(shared, &mut link, answered, &job);
     let since = Instant::now();
-    let kept = link.filter(|_| reply.reusable).map(|link| Parked { link, since, _counted: counted });
+    let kept = (link.is_some() && reply.reusable).then(|| Parked { link, since, counted });
     // The peer hears first: the module's next attempt finds this link idle.
     _ = peer.send((of, PeerMessage::Ended { link: id, kept }));
     shared.report(&job.task, reply);
