Share the watch's first steps and its lines between the platform's two tests of lists

Change: Site::watched gives the client and the watch's lines once the router has its first list; news() writes a line of the watch. Both tests use them.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -294,6 +294,21 @@
     }
 }
 
+impl Site {
+    /// A client, and the lines of discovery's watch once the router has taken the list that it was started with.
+    fn watched(&mut self) -> (Client, Sender<String>) {
+        let client = Client::connect(self.addr);
+        let (_, lines) = self.discovery.watch();
+        self.router.logged("version 41");
+        (client, lines)
+    }
+}
+
+/// A line of the watch: a version of the list, whole or a change.
+fn news(version: u32, full: bool, entries: &[Value]) -> String {
+    json!({"version": version, "full": full, "servers": entries}).to_string()
+}
+
 #[test]
 fn the_wire_is_kept() {
     let site = Site::start();
@@ -501,16 +516,11 @@
 
 #[test]
 fn the_watch_is_followed_resumed_and_what_drains_gets_nothing_new() {
-    let site = Site::start();
-    let mut router = site.router;
-    let client = Client::connect(site.addr);
-    let (_, lines) = site.discovery.watch();
-    router.logged("version 41");
-    let news = |version: u32, full: bool, entries: Vec<Value>| {
-        json!({"version": version, "full": full, "servers": entries}).to_string()
-    };
+    let mut site = Site::start();
+    let (client, lines) = site.watched();
+    let router = &mut site.router;
     lines.send(String::new()).unwrap();
-    lines.send(news(43, false, vec![site.replica.0.entry("terminating")])).unwrap();
+    lines.send(news(43, false, &[site.replica.0.entry("terminating")])).unwrap();
     router.logged("version 43");
     assert_eq!(client.ask(&select("r1", 1900)), served("primary"));
     // The watch ends: the next one resumes where it was, and a whole list after a gap is taken as it is.
@@ -518,7 +528,7 @@
     let (index, lines) = site.discovery.watch();
     assert_eq!(index, "43");
     let (third, _heard) = Instance::start("third", false);
-    lines.send(news(50, true, vec![site.primary.0.entry("in_service"), third.entry("in_service")])).unwrap();
+    lines.send(news(50, true, &[site.primary.0.entry("in_service"), third.entry("in_service")])).unwrap();
     router.logged("version 50");
     client.until(&select("r2", 1900), "third");
     assert_eq!(site.replica.0.ran("r1") + site.replica.0.ran("r2"), 0);
@@ -746,15 +756,11 @@
 
 #[test]
 fn a_list_of_ten_thousand_or_of_none_is_taken_in_time() {
-    let site = Site::start();
-    let mut router = site.router;
-    let client = Client::connect(site.addr);
-    let (_, lines) = site.discovery.watch();
-    router.logged("version 41");
-    let news =
-        |version: u32, entries: &[Value]| json!({"version": version, "full": true, "servers": entries});
+    let mut site = Site::start();
+    let (client, lines) = site.watched();
+    let router = &mut site.router;
     // None at all: nothing is sent anywhere, and the client hears so at once rather than at its deadline.
-    lines.send(news(42, &[]).to_string()).unwrap();
+    lines.send(news(42, true, &[])).unwrap();
     router.logged("version 42");
     let begun = Instant::now();
     assert!(matches!(client.ask(&select("none", 1900)), Answer::Error(..)));
@@ -765,10 +771,10 @@
         json!({"id": format!("far-{i}"), "addr": "127.0.0.1:9", "zone": "a", "kind": "k", "cell": 100 + i,
             "state": "in_service", "weight": 1.0, "started_ms": 0, "mode": "read-only"})
     }));
-    lines.send(news(43, &entries).to_string()).unwrap();
+    lines.send(news(43, true, &entries)).unwrap();
     router.logged("version 43");
     client.until(&select("many", 1900), "replica");
-    assert!(threads(&router, "link") + threads(&router, "peer") < 8);
+    assert!(threads(router, "link") + threads(router, "peer") < 8);
     let status = std::fs::read_to_string(format!("/proc/{}/status", router.child.id())).unwrap();
     let kb: u64 = status
         .lines()
