--- a/lab/src/count.rs
+++ b/lab/src/count.rs
@@ -5,6 +5,7 @@
 //! requests, attempts, outcomes, connections opened and failed, probes by what the last probe of that member showed,
 //! refusals and failures by class and by whether an attempt had gone out.
 use clap::Args;
+use regex::Regex;
 use std::collections::{BTreeMap, HashMap};
 use std::path::{Path, PathBuf};
 
@@ -30,12 +31,24 @@
     }
 }
 
-/// The number inside `Name(...)` after `name`, as the log prints ids.
-fn after<'a>(line: &'a str, name: &str) -> Option<&'a str> {
-    let at = line.find(name)? + name.len();
-    let rest = &line[at..];
-    let end = rest.find(|c: char| !(c.is_ascii_alphanumeric() || c == '_')).unwrap_or(rest.len());
-    Some(&rest[..end])
+/// The fields of a line that are counted by: request, member, outcome, class.
+struct Fields([Regex; 4]);
+
+impl Fields {
+    fn new() -> Fields {
+        let field = |pattern: &str| Regex::new(pattern).expect("a pattern of our own");
+        Fields([
+            field(r"RequestId\((\d+)\)"),
+            field(r"MemberId\((\d+)\)"),
+            field(r"outcome: (\w+)"),
+            field(r"class: (\d+)"),
+        ])
+    }
+
+    /// Each field's value in the line, or `?` where it has none.
+    fn of<'a>(&self, line: &'a str) -> [&'a str; 4] {
+        self.0.each_ref().map(|r| r.captures(line).and_then(|c| c.get(1)).map_or("?", |m| m.as_str()))
+    }
 }
 
 /// What one router's log says, added to `into`. Lines that do not begin with a second are passed over.
@@ -43,6 +56,7 @@
     // Of each request its class and how many attempts went out; of each member what its last probe showed.
     let (mut classes, mut attempts, mut looked) =
         (HashMap::<&str, &str>::new(), HashMap::<&str, u64>::new(), HashMap::<&str, String>::new());
+    let fields = Fields::new();
     for line in lines {
         let Some(second) = line.split(' ').next().and_then(|h| h.parse::<f64>().ok()) else { continue };
         // A second before the start or past any day is a line of something else.
@@ -50,11 +64,9 @@
             continue;
         }
         let second = second as u64;
-        let request = after(line, "RequestId(").unwrap_or("?");
-        let member = after(line, "MemberId(").unwrap_or("?");
-        let outcome = after(line, "outcome: ").unwrap_or("?");
+        let [request, member, outcome, class] = fields.of(line);
         if line.contains("event Request") {
-            classes.insert(request, after(line, "class: ").unwrap_or("?"));
+            classes.insert(request, class);
             into.add(second, "requests");
         } else if line.contains("event Outcome") {
             into.add(second, format!("outcome {outcome}"));
