--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Starts the real program as a process, and acts as its discovery. Nothing here waits by sleeping: each wait is
 //! for a message, with a bound that only a failure reaches.
 #![allow(dead_code)]
+pub mod front;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,195 @@
+//! Several processes of the program in front of the same instances, and faults between them: routers killed at once
+//! and started again in the middle of work, a router stopped (SIGSTOP) past its requests' time, a replica's link cut
+//! and slowed for every router by the stand-in network.
+mod common;
+use common::front::*;
+use common::{Discovery, Folder, LONG, Program};
+use serde_json::Value;
+use standins::proxy::Proxy;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::time::{Duration, Instant};
+
+/// A primary and two replicas behind `routers` processes; the second replica is reached through a proxy by all.
+struct Fleet {
+    routers: Vec<Option<Program>>,
+    addrs: Vec<SocketAddr>,
+    paths: Vec<String>,
+    primary: (Instance, Receiver<String>),
+    replicas: Vec<(Instance, Receiver<String>)>,
+    link: Proxy,
+    _discovery: Discovery,
+    _folder: Folder,
+}
+
+impl Fleet {
+    fn start(routers: usize) -> Fleet {
+        let primary = Instance::start("primary", true);
+        let replicas = vec![Instance::start("r1", false), Instance::start("r2", false)];
+        let link = Proxy::start(replicas[1].0.addr);
+        let mut cut_off = replicas[1].0.entry("in_service");
+        cut_off["addr"] = Value::from(link.addr.to_string());
+        let known = vec![primary.0.entry("in_service"), replicas[0].0.entry("in_service"), cut_off];
+        let (discovery, folder) = (Discovery::start(), Folder::new());
+        let paths: Vec<String> = (0..routers)
+            .map(|n| {
+                let mut config = config(discovery.addr, known.clone());
+                config["name"] = Value::from(format!("n{n}"));
+                config["seed"] = Value::from(format!("{:016x}", 0x5eed_0000 + n));
+                folder.write(&format!("n{n}.json"), &config.to_string()).to_str().unwrap().to_string()
+            })
+            .collect();
+        let mut fleet = Fleet {
+            routers: Vec::new(),
+            addrs: Vec::new(),
+            paths,
+            primary,
+            replicas,
+            link,
+            _discovery: discovery,
+            _folder: folder,
+        };
+        (0..routers).for_each(|n| fleet.restart(n));
+        fleet
+    }
+
+    /// Starts router `n` anew and waits until it has trusted both replicas: a fresh router probes them first.
+    fn restart(&mut self, n: usize) {
+        let mut router = Program::start(&[], &[("BALANCER_CONFIG", &self.paths[n])]);
+        let addr = router.listening();
+        let client = Client::connect(addr);
+        client.until(&select(&format!("warm{n}a"), 1900), "r1");
+        client.until(&select(&format!("warm{n}b"), 1900), "r2");
+        if n < self.routers.len() {
+            (self.routers[n], self.addrs[n]) = (Some(router), addr);
+        } else {
+            self.routers.push(Some(router));
+            self.addrs.push(addr);
+        }
+    }
+
+    fn client(&self, n: usize) -> Client {
+        Client::connect(self.addrs[n])
+    }
+
+    fn signal(&self, n: usize, signal: &str) {
+        self.routers[n].as_ref().unwrap().signal(signal);
+    }
+
+    /// Waits until a replica has been sent this request.
+    fn heard_at_a_replica(&self, id: &str) {
+        let begun = Instant::now();
+        while !self.replicas.iter().any(|r| r.1.try_iter().any(|s| s.contains(&format!("id={id},")))) {
+            assert!(begun.elapsed() < LONG, "{id} reached no replica");
+            std::thread::yield_now();
+        }
+    }
+
+    /// How often a request ran on any instance.
+    fn ran(&self, id: &str) -> usize {
+        self.primary.0.ran(id) + self.replicas.iter().map(|r| r.0.ran(id)).sum::<usize>()
+    }
+}
+
+fn failed_in_time(answer: &Answer) -> bool {
+    matches!(answer, Answer::Error(code, None) if code == "57014")
+}
+
+#[test]
+fn seven_routers_in_ten_killed_in_the_middle_of_writes_leave_the_rest_serving_and_send_nothing_again() {
+    let mut fleet = Fleet::start(10);
+    let clients: Vec<Client> = (0..10).map(|n| fleet.client(n)).collect();
+    // Every router has a write out at the primary when seven of them are killed.
+    fleet.primary.0.act(Act::Silent);
+    while fleet.primary.1.try_recv().is_ok() {}
+    clients.iter().enumerate().for_each(|(n, c)| c.write(&insert(&format!("h{n}"), 700)));
+    (0..10).for_each(|_| _ = fleet.primary.1.recv_timeout(LONG).unwrap());
+    (3..10).for_each(|n| drop(fleet.routers[n].take()));
+    fleet.primary.0.act(Act::Serve);
+    // The three that live answer their own once, at the time of the request; the others' clients see the end.
+    for client in &clients[..3] {
+        assert!(failed_in_time(&client.answer()));
+    }
+    for client in &clients[3..] {
+        assert!(common::take(&client.0, 1).is_err());
+    }
+    for n in 0..3 {
+        assert_eq!(fleet.client(n).ask(&insert(&format!("after{n}"), 1900)), served("primary"));
+    }
+    // Seven start at once, while the three serve on; each finds its way with a few connections of its own.
+    let before = fleet.primary.0.connections.load(Ordering::SeqCst);
+    (3..10).for_each(|n| fleet.restart(n));
+    for n in 0..10 {
+        assert_eq!(fleet.client(n).ask(&insert(&format!("again{n}"), 1900)), served("primary"));
+    }
+    let opened = fleet.primary.0.connections.load(Ordering::SeqCst) - before;
+    assert!(opened <= 7 * 3, "{opened} connections at the primary for seven new routers");
+    // No write that may have run was sent a second time, by the living or by the new.
+    for n in 0..10 {
+        assert_eq!(fleet.ran(&format!("h{n}")), 1, "h{n}");
+    }
+}
+
+#[test]
+fn a_router_stopped_past_its_requests_time_answers_them_at_once_when_it_goes_on_and_sends_nothing_again() {
+    let fleet = Fleet::start(3);
+    let (client, read) = (fleet.client(0), fleet.client(0));
+    // A write and a read are out at instances that keep silent, when the router is stopped.
+    fleet.primary.0.act(Act::Silent);
+    fleet.replicas.iter().for_each(|r| r.0.act(Act::Silent));
+    while fleet.primary.1.try_recv().is_ok() {}
+    client.write(&insert("s1", 600));
+    read.write(&select("s2", 600));
+    fleet.primary.1.recv_timeout(LONG).unwrap();
+    fleet.heard_at_a_replica("s2");
+    let stopped = Instant::now();
+    fleet.signal(0, "-STOP");
+    fleet.primary.0.act(Act::Serve);
+    fleet.replicas.iter().for_each(|r| r.0.act(Act::Serve));
+    // The others serve while it stands, which lasts beyond the time of both requests.
+    let mut n = 0;
+    while stopped.elapsed() < Duration::from_millis(1200) {
+        n += 1;
+        assert!(matches!(fleet.client(1 + n % 2).ask(&select(&format!("o{n}"), 1900)), Answer::Row(_)));
+    }
+    fleet.signal(0, "-CONT");
+    let woken = Instant::now();
+    // One answer each, given at once: their time has passed, and nothing goes out for them any more.
+    assert!(failed_in_time(&client.answer()));
+    let answer = read.answer();
+    assert!(woken.elapsed() < Duration::from_millis(500), "answered {:?} after it went on", woken.elapsed());
+    // A read whose time is over may also be turned away (PROTOCOL: 53300, "the request is already over").
+    assert!(failed_in_time(&answer) || matches!(&answer, Answer::Error(c, _) if c == "53300"), "{answer:?}");
+    assert_eq!(fleet.ran("s1"), 1);
+    assert_eq!(fleet.ran("s2"), 1);
+    // Nothing stands behind these answers, and the router serves as before.
+    assert_eq!(client.ask(&insert("s3", 1900)), served("primary"));
+    assert!(matches!(read.ask(&select("s4", 1900)), Answer::Row(_)));
+}
+
+#[test]
+fn a_replica_cut_off_from_every_router_costs_each_one_attempt_and_is_taken_back_when_healed() {
+    let fleet = Fleet::start(3);
+    fleet.link.cut();
+    for n in 0..3 {
+        let client = fleet.client(n);
+        // The first read that finds the cut may wait for its attempt; the next ones go elsewhere, quickly.
+        for k in 0..6 {
+            let begun = Instant::now();
+            let answer = client.ask(&select(&format!("c{n}.{k}"), 1900));
+            assert!(
+                answer == served("r1") || answer == served("primary"),
+                "{n} {k} {answer:?} {:?}",
+                begun.elapsed()
+            );
+            assert!(k < 2 || begun.elapsed() < Duration::from_millis(300), "{k}: {:?}", begun.elapsed());
+        }
+    }
+    // Slowed, the link serves again; every router comes back to it.
+    fleet.link.heal();
+    fleet.link.faults(|f| f.delay = Duration::from_millis(30));
+    for n in 0..3 {
+        fleet.client(n).until(&select(&format!("healed{n}"), 1900), "r2");
+    }
+}
