--- a/decision/src/decide.rs
+++ b/decision/src/decide.rs
@@ -43,8 +43,6 @@
 const NEAR: f64 = 2.0;
 /// Reads that find the replicas full may take this share of the primary's places.
 const SPARE: f64 = 0.5;
-/// Usual service times of its class that a read's attempt leaves for one more try elsewhere.
-const LAST_TRY: f64 = 2.0;
 /// Refused connections in a row after which a member that answers again may have just started, cold. A
 /// single one is the network's as often as the member's; one that merely never came up is of a member that
 /// was cut off, whose process went on.
@@ -729,12 +727,10 @@
         let now = self.now;
         let open = &self.requests[&id];
         let class = self.class(open);
-        // Where work given up goes on, a second try costs more than it saves, so a read gives up only near
-        // its end: room for one more try is kept against a member cut off, which answers nothing at all.
-        let left = self.useful_until(open).0 - now.0;
+        // No early time-out: where work given up goes on, a second try costs more than it saves.
         let timeout = match class.effect {
             Effect::Unsafe => open.request.deadline.0 - now.0,
-            _ => left - (left / 2).min((LAST_TRY * self.usual[open.request.class]) as i64),
+            _ => self.useful_until(open).0 - now.0,
         };
         if let Some(m) = self.members.get_mut(&member) {
             m.in_flight += 1;
