Withdraw what a gone client's request has waiting, and let a client cancel (unbuilt)

Message::Left only told the decisions; an attempt of the request that still dialled or waited for its link to settle went out afterwards. And no client could cancel: there was no way to give a request its one final answer from outside. Ruled out: closing begun attempts too (they may have run; their answer costs nothing more). Change: Left withdraws the request's attempts that are not begun. Handle::cancel gives Final::Cancelled at once (57014 in PostgreSQL's words, 1317/70100 in MySQL's), withdraws the same way, and counts as errored.

--- a/mysql/src/errors.rs
+++ b/mysql/src/errors.rs
@@ -10,7 +10,8 @@
 //! | 1026, 1030, 1037, 1041, 1053, 1105, 1158 to 1161, 1180, 1317, 1927, 3024 | error | the server failed or stopped it: it may have run |
 //! | any other | served | the statement's own error: the client gets it as it is |
 //!
-//! To a client, an end that is no server's answer is one of [`REFUSED`], [`TIMED_OUT`], [`RESET`], [`ERROR`].
+//! To a client, an end that is no server's answer is one of [`REFUSED`], [`TIMED_OUT`], [`RESET`], [`ERROR`],
+//! [`CANCELLED`].
 use routing::{Final, Outcome};
 
 /// An error code with its SQLSTATE.
@@ -22,6 +23,8 @@
 pub const TIMED_OUT: Code = (3024, "HY000");
 /// The server's connection broke; it may have run.
 pub const RESET: Code = (1158, "08S01");
+/// The client cancelled it; it may have run.
+pub const CANCELLED: Code = (1317, "70100");
 /// The server failed; it may have run.
 pub const ERROR: Code = (1105, "HY000");
 
@@ -105,6 +108,7 @@
             payload(REFUSED, &text)
         }
         Final::Refused(None) => payload(REFUSED, "refused: trying again is harmless"),
+        Final::Cancelled => payload(CANCELLED, "cancelled by its client; what had begun may have run"),
         Final::NoPlace(why) => payload(REFUSED, &format!("refused: nothing ran: {why}")),
         Final::Failed(Some(Outcome::TimedOut)) => payload(TIMED_OUT, "no answer in time; it may have run"),
         Final::Failed(Some(Outcome::Reset)) => {
--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -393,6 +393,11 @@
             push_error(&mut text, "ERROR", "53300", "refused: trying again is harmless", ms.as_deref());
             text
         }
+        Final::Cancelled => {
+            let mut text = Vec::new();
+            push_error(&mut text, "ERROR", "57014", "canceling statement due to user request", None);
+            text
+        }
         // This protocol's clients are told no reasons.
         Final::NoPlace(_) => return worded(Final::Refused(None)),
         Final::Failed(last) => {
--- a/routing/src/messages.rs
+++ b/routing/src/messages.rs
@@ -21,6 +21,8 @@
     Failed(Option<Outcome>),
     /// Its tenant's data may not be where it would have to go: nothing ran.
     NoPlace(Refusal),
+    /// Its client cancelled it; what had begun by then may have run.
+    Cancelled,
 }
 
 /// A request as a front hands it over.
@@ -49,6 +51,8 @@
     Arrived(RequestId, Incoming<W>),
     /// Its client is gone.
     Left(RequestId),
+    /// Its client waits for the one final answer, but wants nothing done any more.
+    Cancelled(RequestId),
     /// An attempt has ended.
     Ended {
         /// Which attempt.
--- a/routing/src/module.rs
+++ b/routing/src/module.rs
@@ -77,6 +77,12 @@
         _ = self.to.send(Message::Left(id));
     }
 
+    /// The client of a request has cancelled it: it gets [`Final::Cancelled`] at once, unless it has its final answer,
+    /// and nothing further is sent for it.
+    pub fn cancel(&self, id: RequestId) {
+        _ = self.to.send(Message::Cancelled(id));
+    }
+
     /// A request of this class was refused before it came here.
     pub fn refused(&self, class: usize) {
         if let Some(f) = self.figures.as_ref().and_then(|f| f.classes.get(class)) {
@@ -212,7 +218,7 @@
                 _ if now >= self.deadline => class.errored.inc(),
                 Final::Served(..) => class.answered.inc(),
                 Final::Refused(_) | Final::NoPlace(_) => class.deferred.inc(),
-                Final::Failed(_) => class.errored.inc(),
+                Final::Failed(_) | Final::Cancelled => class.errored.inc(),
             }
         }
         // The front's channel has room for its one answer; a closed one means the client is gone.
@@ -322,8 +328,14 @@
                     && k.answer.take().is_some()
                 {
                     self.figures.iter().for_each(|f| f.current.dec());
-                    self.feed(Event::ClientLeft { request: id });
-                    self.drop_if_done(id);
+                    self.close(id);
+                }
+            }
+            Message::Cancelled(id) => {
+                let now = self.clock.now();
+                if let Some(k) = self.requests.get_mut(&id).filter(|k| k.answer.is_some()) {
+                    k.claim(Final::Cancelled, now, self.figures.as_deref());
+                    self.close(id);
                 }
             }
             Message::Ended { key, member, reply } => self.ended(key, member, reply),
@@ -500,6 +512,13 @@
         Some(((id, attempt), member))
     }
 
+    /// Nobody waits for a request any more: nothing further goes out for it, nor what still waits for a connection.
+    fn close(&mut self, id: RequestId) {
+        self.withdraw_of(id);
+        self.feed(Event::ClientLeft { request: id });
+        self.drop_if_done(id);
+    }
+
     fn drop_if_done(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|k| k.answer.is_none() && k.out.is_empty()) {
             self.requests.remove(&id);
--- a/routing/src/module/placed.rs
+++ b/routing/src/module/placed.rs
@@ -148,7 +148,7 @@
     }
 
     /// What is not begun of a request does not begin.
-    fn withdraw_of(&self, id: RequestId) {
+    pub(super) fn withdraw_of(&self, id: RequestId) {
         for (n, member) in self.requests.get(&id).into_iter().flat_map(|k| &k.out) {
             self.withdraw_one((id, *n), *member);
         }
