Ask an attempt's Stop for news right before its first byte, each time it is written

Cause: news of a drain, an end, a withdrawal or an abandon went to links through the peers' mailbox with try_send, whose false was ignored: a full mailbox lost it for good, and news queued behind an attempt came after that. And peer.rs, carry: Stop::begin stayed begun when a resting connection broke before the last byte, so news that came then did nothing, and the job went out once more after a dial of up to the connect limit. Ruled out: a blocking send from the module (the peers' actor blocks on the module's mailbox, so both could wait for each other); an unbounded control channel (news would still queue behind work that the actor is held over); a failed write that delivered the whole (tests/write.rs: around what the buffers take, a write failed exactly if its last byte did not arrive, also by its time). Change: the module keeps each attempt's Stop and each instance's Service and says news there; begin() reads both under its lock, each time. A broken carry is released: it has not begun, its socket closes at once, and no dial is made for what may not begin. The mailbox carries only work (answered for by Moot) and hints that a later look finds again. The inline test of wire.rs moved to tests/dial.rs, unchanged.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod module;
 pub mod peer;
 pub mod probes;
+pub mod stop;
 mod views;
 pub mod wire;
 
--- a/routing/src/messages.rs
+++ b/routing/src/messages.rs
@@ -1,10 +1,10 @@
 //! What the core's actors say to each other; the module, the list and the peers stand on this and not on one another's
 //! insides.
+use crate::stop::{Service, Stop};
 use crate::wire::{Reply, Wire};
 use crossbeam_channel::Sender;
 use decision::{GroupId, MemberId, MemberState, Outcome, Report, RequestId, SessionId, Time};
 use placement::Refusal;
-use prometheus::IntCounter;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -94,7 +94,8 @@
 /// Which peer a message is for: a number that no later peer gets, though an instance that is listed elsewhere keeps its id.
 pub type PeerId = u64;
 
-/// What a peer is told.
+/// What a peer is told. A full mailbox may lose of this what says nothing new or is answered for by the sender: whether
+/// work may begin is asked of its [`Stop`] and [`Service`].
 pub enum PeerMessage<W: Wire> {
     /// Begin with an instance.
     Start {
@@ -102,17 +103,15 @@
         member: MemberId,
         /// Where it listens.
         addr: SocketAddr,
+        /// Whether it may get anything new, from now on.
+        service: Service,
     },
-    /// Carry an attempt; the router stops waiting for it at this moment. It counts once it is written whole.
-    Attempt(Key, Arc<W::Payload>, Instant, Option<IntCounter>),
-    /// Stop waiting for an attempt.
-    Abandon(Key),
-    /// An attempt that is not begun yet must not begin.
-    Withdraw(Key),
+    /// Carry an attempt, unless that is stopped; the router stops waiting for it at this moment.
+    Attempt(Key, Arc<W::Payload>, Instant, Stop),
     /// Ask the instance how it is.
     Probe,
-    /// Whether the list has it in service.
-    InService(bool),
+    /// It is out of service: what rests with it is let go. Where this gets lost, that is found at the next look.
+    Tidy,
     /// Descriptors run short: links that rest are let go.
     Trim {
         /// but for so many, the warmest.
@@ -122,8 +121,6 @@
     Forgotten,
     /// A link has ended its work; it rests with the peer if it takes more.
     Ended {
-        /// Which link.
-        link: u64,
         /// The connection, where it takes more work.
         kept: Option<crate::peer::Parked<W>>,
     },
--- a/routing/src/module.rs
+++ b/routing/src/module.rs
@@ -6,6 +6,7 @@
 use crate::messages::{Final, Incoming, Key, ListNews, Message, PeerId, PeerMessage};
 use crate::peer::ToPeers;
 use crate::probes::{Probes, Turn};
+use crate::stop::{Service, Stop};
 use crate::views::{Change, Views};
 use crate::wire::{Reply, Wire};
 use crate::{list, peer, spawn};
@@ -174,23 +175,38 @@
 struct Peer<W: Wire> {
     name: String,
     addr: SocketAddr,
-    in_service: bool,
+    /// What its attempts ask before they begin.
+    service: Service,
     /// Its peer begins with the first work for it: of a long list, most instances are never asked here.
     peer: Option<(PeerId, ToPeers<W>)>,
 }
 
 impl<W: Wire> Peer<W> {
-    /// Tells its peer, if that has begun; `false` where it can't be told.
+    /// Tells its peer, if that has begun; `false` where it can't be told: the actor of all peers may be waiting for this
+    /// one, so this one never waits for it. What must not be lost is said by its [`Service`] or by an attempt's [`Stop`].
     fn tell(&self, message: PeerMessage<W>) -> bool {
         self.peer.as_ref().is_some_and(|(id, peers)| peers.try_send((*id, message)).is_ok())
     }
 
-    fn in_service(&mut self, yes: bool) {
-        self.in_service = yes;
-        self.tell(PeerMessage::InService(yes));
+    fn in_service(&self, yes: bool) {
+        if self.service.set(yes) && !yes {
+            self.tell(PeerMessage::Tidy);
+        }
+    }
+
+    fn forget(&self) {
+        self.service.forget();
+        self.tell(PeerMessage::Forgotten);
     }
 }
 
+/// An attempt that is out.
+struct Out {
+    number: u32,
+    member: MemberId,
+    stop: Stop,
+}
+
 struct Known<W: Wire> {
     payload: Arc<W::Payload>,
     class: usize,
@@ -200,8 +216,7 @@
     /// Taken by whoever claims the final answer.
     answer: Option<Sender<Final<W::Answer>>>,
     sent: u32,
-    /// Attempts that are out, with their members.
-    out: Vec<(u32, MemberId)>,
+    out: Vec<Out>,
     last: Option<Outcome>,
     /// How it goes by a view, where places are kept.
     placed: Option<Box<placed::Placed>>,
@@ -427,7 +442,7 @@
             });
         }
         let named: HashSet<&str> = news.entries.iter().map(|e| e.id.as_str()).collect();
-        for m in self.members.values_mut().filter(|m| news.complete && !named.contains(m.name.as_str())) {
+        for m in self.members.values().filter(|m| news.complete && !named.contains(m.name.as_str())) {
             m.in_service(false);
         }
         let entries = news.entries.iter().map(|e| {
@@ -435,7 +450,7 @@
             // An instance that is listed elsewhere now gets a peer of its own; the old one ends its work.
             let moved = known.is_some_and(|id| self.members.get(&id).is_some_and(|m| m.addr != e.addr));
             if moved && let Some(old) = known.and_then(|id| self.members.remove(&id)) {
-                old.tell(PeerMessage::Forgotten);
+                old.forget();
                 known.into_iter().for_each(|id| self.probes.forget(id));
             }
             let id = known.unwrap_or_else(|| {
@@ -443,14 +458,15 @@
                 MemberId(self.next_member)
             });
             if e.state != MemberState::Gone {
-                let peer = || Peer { name: e.id.clone(), addr: e.addr, in_service: true, peer: None };
+                let service = Service::default();
+                let peer = || Peer { name: e.id.clone(), addr: e.addr, service, peer: None };
                 self.members.entry(id).or_insert_with(peer);
             }
             if known.is_none() {
                 tracing::debug!("member {} is {}", id.0, e.id);
             }
             self.ids.insert(e.id.clone(), id);
-            if let Some(m) = self.members.get_mut(&id) {
+            if let Some(m) = self.members.get(&id) {
                 m.in_service(e.state == MemberState::Ready);
             }
             MemberEntry {
@@ -479,9 +495,9 @@
     fn ended(&mut self, (id, attempt): Key, member: MemberId, reply: Reply<W::Answer>) {
         self.note(member, reply.outcome);
         let Some(k) = self.requests.get_mut(&id) else { return };
-        let Some(at) = k.out.iter().position(|(n, _)| *n == attempt) else { return };
+        let Some(at) = k.out.iter().position(|o| o.number == attempt) else { return };
         // It was sent to this number of the instance.
-        let (_, member) = k.out.swap_remove(at);
+        let Out { member, .. } = k.out.swap_remove(at);
         if !matches!(reply.outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) {
             self.probes.wrong(self.views.as_ref().map_or(member, |v| v.instance(member)));
         }
@@ -503,13 +519,11 @@
     }
 
     /// Stops waiting for an attempt that is out; its link is closed.
-    fn abandon(&mut self, id: RequestId, attempt: u32) -> Option<(Key, MemberId)> {
+    fn abandon(&self, id: RequestId, attempt: u32) -> Option<(Key, MemberId)> {
         let known = self.requests.get(&id)?;
-        let &(_, member) = known.out.iter().find(|(n, _)| *n == attempt)?;
-        if let Some(m) = self.members.get(&self.instance(member)) {
-            m.tell(PeerMessage::Abandon((id, attempt)));
-        }
-        Some(((id, attempt), member))
+        let out = known.out.iter().find(|o| o.number == attempt)?;
+        out.stop.stop();
+        Some(((id, attempt), out.member))
     }
 
     /// Nobody waits for a request any more: nothing further goes out for it, nor what still waits for a connection.
@@ -541,13 +555,15 @@
         self.router.handle(now, event, &mut actions);
         for a in actions {
             tracing::debug!(at = now.0, "action {a:?}");
-            self.act(a);
+            self.act(now, a);
         }
     }
 
-    fn act(&mut self, action: Action) {
+    fn act(&mut self, now: Time, action: Action) {
         match action {
-            Action::Send { request, member, timeout } => self.send(request, member, timeout),
+            Action::Send { request, member, timeout } => {
+                self.send(request, member, Time(now.0 + timeout));
+            }
             Action::Cancel { request, attempt } => {
                 if let Some((key, member)) = self.abandon(request, attempt) {
                     self.later(Message::Ended { key, member, reply: Reply::bare(Outcome::Cancelled) });
@@ -575,7 +591,7 @@
                 let Some(member) = member else { return };
                 self.probes.forget(member);
                 if let Some(m) = self.members.remove(&member) {
-                    m.tell(PeerMessage::Forgotten);
+                    m.forget();
                     self.ids.remove(&m.name);
                 } else {
                     self.ids.retain(|_, id| *id != member);
@@ -616,26 +632,27 @@
             let Some(peers) = self.peers.clone() else { return false };
             self.next_peer += 1;
             m.peer = Some((self.next_peer, peers));
-            if !m.tell(PeerMessage::Start { member, addr: m.addr }) {
+            if !m.tell(PeerMessage::Start { member, addr: m.addr, service: m.service.clone() }) {
                 m.peer = None;
                 return false;
             }
-            let in_service = m.in_service;
-            m.in_service(in_service);
         }
         m.tell(work)
     }
 
-    fn send(&mut self, request: RequestId, member: MemberId, timeout: Micros) {
+    /// Begins an attempt, and gives it up `at` its time.
+    fn send(&mut self, request: RequestId, member: MemberId, at: Time) {
+        let instance = self.instance(member);
+        let service = self.members.get(&instance).map(|m| m.service.clone()).unwrap_or_default();
         let Some(k) = self.requests.get_mut(&request) else { return };
         let key = (request, k.sent);
         k.sent += 1;
-        k.out.push((key.1, member));
-        let at = Time(self.clock.now().0 + timeout);
         let until = self.clock.instant(at);
         let sends = self.figures.as_ref().and_then(|f| f.classes.get(k.class)).map(|c| c.sends.clone());
-        let attempt = PeerMessage::Attempt(key, k.payload.clone(), until, sends);
-        if self.hand(self.instance(member), attempt) {
+        let stop = Stop::attempt(service, until, sends);
+        k.out.push(Out { number: key.1, member, stop: stop.clone() });
+        let attempt = PeerMessage::Attempt(key, k.payload.clone(), until, stop);
+        if self.hand(instance, attempt) {
             self.timers.push(Reverse((at, Due::Attempt(request, key.1))));
         } else {
             self.later(Message::Ended { key, member, reply: Reply::bare(Outcome::Moot) });
--- a/routing/src/module/placed.rs
+++ b/routing/src/module/placed.rs
@@ -1,7 +1,7 @@
 //! The module's part of keeping data in its place: requests go by the view of their tenant, and those under way are
 //! looked at again when views change. Nothing here is met where no places are kept.
 use super::{Due, Known, Module};
-use crate::messages::{Final, Incoming, Key, PeerMessage};
+use crate::messages::{Final, Incoming};
 use crate::views::{Change, Probing};
 use crate::wire::Wire;
 use decision::{Event, GroupId, MemberId, Outcome, Report, Request, RequestId};
@@ -70,10 +70,8 @@
         if left.is_empty() {
             return;
         }
-        let out = self.requests.iter().flat_map(|(id, k)| k.out.iter().map(|(n, m)| ((*id, *n), *m)));
-        for (key, member) in out.filter(|(_, m)| left.contains(m)) {
-            self.withdraw_one(key, member);
-        }
+        let out = self.requests.values().flat_map(|k| &k.out);
+        out.filter(|o| left.contains(&o.member)).for_each(|o| o.stop.withdraw());
     }
 
     pub(super) fn instance(&self, member: MemberId) -> MemberId {
@@ -149,15 +147,7 @@
 
     /// What is not begun of a request does not begin.
     pub(super) fn withdraw_of(&self, id: RequestId) {
-        for (n, member) in self.requests.get(&id).into_iter().flat_map(|k| &k.out) {
-            self.withdraw_one((id, *n), *member);
-        }
-    }
-
-    fn withdraw_one(&self, key: Key, member: MemberId) {
-        if let Some(p) = self.members.get(&self.instance(member)) {
-            p.tell(PeerMessage::Withdraw(key));
-        }
+        self.requests.get(&id).iter().flat_map(|k| &k.out).for_each(|o| o.stop.withdraw());
     }
 
     /// The final answer of a request whose place has changed under way, once nothing of it is out.
--- a/routing/src/wire.rs
+++ b/routing/src/wire.rs
@@ -1,12 +1,12 @@
 //! What the core asks of a wire.
+pub use crate::stop::Stop;
 use decision::{Outcome, Report, Time};
-use prometheus::IntCounter;
 use settings::Limits;
 use socket2::SockRef;
 use std::io::{self, IoSlice, Read, Write};
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// One piece of work for a link.
@@ -63,7 +63,8 @@
     /// for long may have been forgotten on the way without a word: a wire asks across it, or says that it does not.
     fn alive(&mut self, rested: Duration) -> bool;
     /// Carries one piece of work to its end, or says that the connection broke before the last byte of it was
-    /// written. [`Stop::begin`] is asked right before the first byte, [`Stop::written`] told right after the last.
+    /// written. [`Stop::begin`] is asked right before the first byte, also of what only makes ready for the work and of
+    /// all that is written anew after an answer; [`Stop::written`] is told right after the last.
     fn carry(&mut self, work: Work<'_, W>, stop: &Stop) -> Result<Reply<W::Answer>, Unsent>;
 }
 
@@ -76,66 +77,6 @@
     Stopped,
 }
 
-#[derive(Default)]
-struct Inner {
-    socket: Option<Arc<TcpStream>>,
-    begun: bool,
-    stopped: bool,
-    /// Counts the work once it has been written whole.
-    sends: Option<IntCounter>,
-}
-
-/// Ends a piece of work from another thread: before its first byte it is never sent, after that its
-/// connection is closed.
-#[derive(Clone, Default)]
-pub struct Stop(Arc<Mutex<Inner>>);
-
-impl Stop {
-    fn inner(&self) -> std::sync::MutexGuard<'_, Inner> {
-        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
-    /// For work that counts here once its last byte is written.
-    pub fn counted(sends: Option<IntCounter>) -> Stop {
-        Stop(Arc::new(Mutex::new(Inner { sends, ..Inner::default() })))
-    }
-
-    /// Said by the link when the last byte of the work has been written.
-    pub fn written(&self) {
-        if let Some(sends) = self.inner().sends.take() {
-            sends.inc();
-        }
-    }
-
-    /// Takes charge of the connection that the work goes out on.
-    pub fn hold(&self, socket: Arc<TcpStream>) {
-        self.inner().socket = Some(socket);
-    }
-
-    /// Stops the work, whether it has begun or not.
-    pub fn stop(&self) {
-        let mut inner = self.inner();
-        inner.stopped = true;
-        if let Some(s) = inner.socket.take().filter(|_| inner.begun) {
-            // Errors mean that it is closed already, which is what is wanted.
-            _ = s.shutdown(Shutdown::Both);
-        }
-    }
-
-    /// Stops the work unless it has begun: what drains completes what it has and gets nothing new.
-    pub fn stop_unless_begun(&self) {
-        let mut inner = self.inner();
-        inner.stopped |= !inner.begun;
-    }
-
-    /// Asked right before the first byte is written: whether the work may still begin.
-    pub fn begin(&self) -> bool {
-        let mut inner = self.inner();
-        inner.begun |= !inner.stopped;
-        !inner.stopped
-    }
-}
-
 /// Whether an idle connection stands: the other side has nothing to say on one, so bytes or an end mean that it
 /// is no good any more.
 pub fn idle_and_open(socket: &TcpStream) -> bool {
@@ -176,7 +117,11 @@
     Ok(socket)
 }
 
-fn is_own_echo(socket: &TcpStream) -> io::Result<bool> {
+/// Whether a connection is one to itself.
+///
+/// # Errors
+/// Where it has no two ends any more.
+pub fn is_own_echo(socket: &TcpStream) -> io::Result<bool> {
     Ok(socket.local_addr()? == socket.peer_addr()?)
 }
 
@@ -207,22 +152,3 @@
     }
     Ok(())
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use socket2::{Domain, Socket, Type};
-
-    #[test]
-    fn a_connection_to_itself_is_told_from_one_to_a_listener() {
-        let own = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        own.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-        let at = own.local_addr().unwrap();
-        // Nobody listens there, and the system lets it meet itself.
-        own.connect(&at).unwrap();
-        assert!(is_own_echo(&own.into()).unwrap());
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let socket = dial(listener.local_addr().unwrap(), Duration::from_secs(5)).unwrap();
-        assert!(!is_own_echo(&socket).unwrap());
-    }
-}
