Leave no long parameters on a link whose execution was withdrawn (MySQL)

Cause: mysql/src/link.rs, execute: long parameters went out before Stop::begin was asked. One that was stopped then kept its link, and the server appends the next execution's parameters to what it holds: that would have run with both. A statement was also prepared on a server that drains, and a stop could not close the link over it. Ruled out: closing such a link (it is good, and asking first costs nothing). Change: begin() is asked before anything of an execution is written, and once for its parameters and itself.

--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -291,6 +291,8 @@
             let known = self.prepared.iter().find(|(t, ..)| t == text).map(|(_, id, _)| *id);
             let id = match known {
                 Some(id) => id,
+                // Nothing new, not even this, to a server that drains.
+                None if !stop.begin() => return Err(Unsent::Stopped),
                 None => match self.prepare(text) {
                     // Up to here nothing has run: whatever broke, the execution may go elsewhere.
                     Err(_) => return Err(Unsent::Broken),
@@ -300,12 +302,19 @@
                     Ok(_) => continue,
                 },
             };
+            // Asked before the first of them, and not again: a server keeps them for the next execution, so a link that
+            // stays warm must not have sent any without theirs.
+            if !stop.begin() {
+                return Err(Unsent::Stopped);
+            }
             for (parameter, bytes) in long {
                 let head = [&[command::STMT_SEND_LONG_DATA][..], &id.to_le_bytes(), &parameter.to_le_bytes()]
                     .concat();
                 write_command(&self.socket, &[&head, bytes]).map_err(|_| Unsent::Broken)?;
             }
-            self.begin(stop, &[&[command::STMT_EXECUTE], &id.to_le_bytes(), body])?;
+            let execution: &[&[u8]] = &[&[command::STMT_EXECUTE], &id.to_le_bytes(), body];
+            write_command(&self.socket, execution).map_err(|_| Unsent::Broken)?;
+            stop.written();
             let answer = self.answer();
             let unknown = answer.as_ref().is_ok_and(|a| {
                 errors::code(&a[0]).is_some_and(|c| errors::meaning(c) == Meaning::PrepareAnew)
