Begin a repeat or a bounded read while what allows it still holds, or not at all

Cause: decide.rs, choose(), allowed a repeat of a keyed class while now - first < window, and took a replica's position as proof for a bounded read, both at the decision; the first byte goes out after a dial, up to the connect limit later. A copy could arrive after its window and a read meet data older than its bound, where members don't check themselves. Ruled out: adding the connect limit to both rules (repeats in short windows would end long before they have to); and a loop of late ends: Moot counts as an attempt, a tried replica isn't chosen again, and a window that is over gives up. Change: Action::Send says within which time the first byte must go out: the rest of the window less one round, the rest of the proof of a replica that answers from what it has, else the timeout. Adapter and emulator have no dials to bound. Measured: with within = timeout and the old rule in choose(), a_repeat_begins_before_its_window_ends..., a_bounded_read_ begins_while..., both in decision/tests/failures.rs, and a_repeat_whose_connection_comes_up_after_its_window... in routing/tests/handover.rs fail; with the change decision, routing, emulator and adapter pass. tests/random.rs asks more than before: a repeat's window and a read's proof hold up to the last moment at which either may begin.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -303,7 +303,7 @@
     fn write(&mut self, driver: &str, action: Action) -> Option<Value> {
         let name = |id: RequestId| self.requests.get(&id).map(|k| k.name.as_str());
         Some(match action {
-            Action::Send { request, member, timeout } => {
+            Action::Send { request, member, timeout, .. } => {
                 let member = self.member_names.get(&member)?;
                 let req = name(request)?;
                 let line = json!({"PLACE": {"driver": driver, "req": req, "member": member,
--- a/decision/src/decide.rs
+++ b/decision/src/decide.rs
@@ -521,7 +521,7 @@
     }
 
     fn choose(&mut self, id: RequestId, actions: &mut Vec<Action>) -> Choice {
-        let now = self.now;
+        let (now, round) = (self.now, self.settings.round);
         let Some(open) = self.requests.get(&id) else { return Choice::Hold };
         let need = if open.attempts.is_empty() { self.usual[open.request.class] as i64 } else { 0 };
         if now.0 + need >= self.useful_until(open).0
@@ -533,7 +533,7 @@
         if let Some(first) = open.may_have_run {
             let allowed = match self.class(open).effect {
                 Effect::Safe => true,
-                Effect::KeyedInGroup(w) | Effect::KeyedEverywhere(w) => now.0 - first.0 < w,
+                Effect::KeyedInGroup(w) | Effect::KeyedEverywhere(w) => now.0 - first.0 < w - round,
                 Effect::KeyedInZone(_) | Effect::Unsafe => false,
             };
             if !allowed {
@@ -746,6 +746,18 @@
             Effect::Unsafe => open.request.deadline.0 - now.0,
             _ => self.useful_until(open).0 - now.0,
         };
+        // A dial may lie before its first byte: what allows it now has to hold then.
+        let window = match (class.effect, open.may_have_run) {
+            (Effect::KeyedInGroup(w) | Effect::KeyedEverywhere(w), Some(t)) => t.0 + w - self.settings.round,
+            _ => i64::MAX,
+        };
+        let proven = self.settings.when_behind == WhenBehind::Answers
+            && self.groups[&open.request.group].primary != Some(member);
+        let proof = match class.freshness {
+            Freshness::Bounded(bound) if proven => self.members[&member].position.0 + bound,
+            _ => i64::MAX,
+        };
+        let within = window.min(proof).min(now.0 + timeout) - now.0;
         if let Some(m) = self.members.get_mut(&member) {
             m.in_flight += 1;
             m.ghosts.retain(|t| *t > now);
@@ -754,7 +766,7 @@
             open.attempts.push(Attempt { member, sent: now, outcome: None });
         }
         self.unhold(id);
-        actions.push(Action::Send { request: id, member, timeout: timeout.max(1) });
+        actions.push(Action::Send { request: id, member, timeout: timeout.max(1), within });
     }
 
     fn hold(&mut self, id: RequestId) {
--- a/decision/src/interface.rs
+++ b/decision/src/interface.rs
@@ -297,6 +297,9 @@
         member: MemberId,
         /// Give it up after this time.
         timeout: Micros,
+        /// Its first byte must go out within this time, or it must not begin: what it rests on holds no longer. Never more
+        /// than the timeout.
+        within: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/decision/tests/failures.rs
+++ b/decision/tests/failures.rs
@@ -136,6 +136,46 @@
     assert!(failed(&out, w) && !refused(&out, w));
 }
 
+/// Within which time each attempt has to begin.
+fn within(actions: &[Action]) -> Vec<i64> {
+    let pick = |a: &Action| if let Action::Send { within, .. } = a { Some(*within) } else { None };
+    actions.iter().filter_map(pick).collect()
+}
+
+#[test]
+fn a_repeat_begins_before_its_window_ends_or_not_at_all() {
+    let mut b = Bench::ready(settings(Effect::KeyedInGroup(100 * MS)));
+    let (w, out) = b.ask(0, None);
+    assert_eq!(within(&out), [1200 * MS], "a first attempt has the time of its client");
+    b.now += 60 * MS;
+    let again = b.outcome(w, 0, MemberId(0), Outcome::Reset);
+    // The window less what it is to take from the decision to the last byte.
+    assert_eq!((sends(&again), within(&again)), (vec![(w, MemberId(0))], vec![35 * MS]));
+    // Its connection came up too late: it never ran, and nothing is left of the window.
+    b.now += 35 * MS;
+    let out = b.outcome(w, 1, MemberId(0), Outcome::Moot);
+    assert!(sends(&out).is_empty() && failed(&out, w));
+}
+
+#[test]
+fn a_bounded_read_begins_while_its_replica_is_proven_fresh() {
+    // The replicas are 250 of the 300 ms behind that the class bears.
+    let mut b = Bench::behind(settings(KEYED), [250, 250]);
+    let (r, out) = b.ask(3, None);
+    let first = sends(&out)[0].1;
+    assert_ne!(first, MemberId(0));
+    assert_eq!(within(&out), [50 * MS]);
+    // Its connection came up too late. The other replica is no fresher; the primary always is.
+    b.now += 60 * MS;
+    let out = b.outcome(r, 0, first, Outcome::Moot);
+    assert_eq!((sends(&out), within(&out)), (vec![(r, MemberId(0))], vec![340 * MS]));
+    // Members that look for themselves need no such bound.
+    let checking = Settings { when_behind: WhenBehind::Bounces, ..settings(KEYED) };
+    let mut b = Bench::behind(checking, [250, 250]);
+    let (_, out) = b.ask(3, None);
+    assert_eq!(within(&out), [400 * MS]);
+}
+
 #[test]
 fn a_held_read_is_given_up_before_its_aim_and_told_when_to_come_back() {
     let mut b = Bench::new(settings(KEYED));
--- a/decision/tests/random.rs
+++ b/decision/tests/random.rs
@@ -51,7 +51,9 @@
         let now = self.b.now;
         for a in actions {
             match a {
-                Action::Send { request, member, timeout } => self.check_send(request.0, member.0, timeout),
+                Action::Send { request, member, timeout, within } => {
+                    self.check_send(request.0, member.0, timeout, within);
+                }
                 Action::Refuse { request, .. } => {
                     let o = self.open.get_mut(&request.0).expect("a refused request is open");
                     assert!(!o.answered, "two final answers");
@@ -87,19 +89,22 @@
         );
     }
 
-    fn check_send(&mut self, id: u64, member: u32, timeout: i64) {
+    fn check_send(&mut self, id: u64, member: u32, timeout: i64, within: i64) {
         let now = self.b.now;
         assert_eq!(self.ready.get(&member), Some(&true), "sent to a member that drains or is gone");
         let s = &self.s;
         let o = self.open.get_mut(&id).expect("a sent request is open");
         let class = &s.classes[o.class];
         assert!(!o.answered, "sent after the final answer");
+        assert!(within <= timeout, "it may begin after it is given up");
         assert!(o.attempts.len() < s.max_attempts as usize, "too many attempts");
         assert!(s.may_duplicate || o.attempts.iter().all(|a| !a.3), "two attempts out together");
         if let Some(first) = o.attempts.iter().filter(|a| a.4 || a.3).map(|a| a.1).min() {
             match class.effect {
                 Effect::Safe => {}
-                Effect::KeyedInGroup(w) | Effect::KeyedEverywhere(w) => assert!(now - first <= w),
+                Effect::KeyedInGroup(w) | Effect::KeyedEverywhere(w) => {
+                    assert!(now + within.max(1) < first + w, "a repeat may begin after its window");
+                }
                 Effect::Unsafe | Effect::KeyedInZone(_) => panic!("an effect may happen twice"),
             }
         }
@@ -112,6 +117,12 @@
             };
             let has = self.proven.get(&member).copied().unwrap_or(i64::MIN);
             assert!(need.is_none_or(|n| has >= n), "a stale read: {:?}", class.freshness);
+            if let Freshness::Bounded(b) = class.freshness {
+                assert!(
+                    now + within <= has + b,
+                    "a read may begin after the proof of its freshness has run out"
+                );
+            }
         }
         o.attempts.push((member, now, timeout, true, false));
     }
--- a/emulator/src/world/routers.rs
+++ b/emulator/src/world/routers.rs
@@ -13,7 +13,9 @@
     pub(super) fn act(&mut self, r: usize, action: Action) {
         let epoch = self.routers[r].epoch;
         match action {
-            Action::Send { request, member, timeout } => self.send(r, request.0, member.0 as usize, timeout),
+            Action::Send { request, member, timeout, .. } => {
+                self.send(r, request.0, member.0 as usize, timeout);
+            }
             Action::Cancel { request, attempt } => {
                 let job = Job { router: r, epoch, request: request.0, attempt, class: 0, client: 0 };
                 self.after(0, Ev::Cancelled(job));
--- a/routing/src/module.rs
+++ b/routing/src/module.rs
@@ -561,8 +561,8 @@
 
     fn act(&mut self, now: Time, action: Action) {
         match action {
-            Action::Send { request, member, timeout } => {
-                self.send(request, member, Time(now.0 + timeout));
+            Action::Send { request, member, timeout, within } => {
+                self.send(request, member, Time(now.0 + timeout), Time(now.0 + within));
             }
             Action::Cancel { request, attempt } => {
                 if let Some((key, member)) = self.abandon(request, attempt) {
@@ -640,8 +640,8 @@
         m.tell(work)
     }
 
-    /// Begins an attempt, and gives it up `at` its time.
-    fn send(&mut self, request: RequestId, member: MemberId, at: Time) {
+    /// Begins an attempt, by `latest` or not at all, and gives it up `at` its time.
+    fn send(&mut self, request: RequestId, member: MemberId, at: Time, latest: Time) {
         let instance = self.instance(member);
         let service = self.members.get(&instance).map(|m| m.service.clone()).unwrap_or_default();
         let Some(k) = self.requests.get_mut(&request) else { return };
@@ -649,7 +649,7 @@
         k.sent += 1;
         let until = self.clock.instant(at);
         let sends = self.figures.as_ref().and_then(|f| f.classes.get(k.class)).map(|c| c.sends.clone());
-        let stop = Stop::attempt(service, until, sends);
+        let stop = Stop::attempt(service, self.clock.instant(latest), sends);
         k.out.push(Out { number: key.1, member, stop: stop.clone() });
         let attempt = PeerMessage::Attempt(key, k.payload.clone(), until, stop);
         if self.hand(instance, attempt) {
--- a/routing/tests/handover.rs
+++ b/routing/tests/handover.rs
@@ -13,6 +13,7 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 /// A class that may go anywhere again, and one that may within its window.
 const SAFE: usize = 0;
+const KEYED: usize = 1;
 /// One whose clients wait for a moment only.
 const SHORT: usize = 2;
 const WINDOW: Duration = Duration::from_millis(600);
@@ -441,6 +442,30 @@
     assert_eq!(core.script.written(addr(1)), 0);
 }
 
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_window_does_not_begin() {
+    let mut core = Core::start(|_| ());
+    core.list(&[entry("a", 1, 0)]);
+    assert_eq!(core.submit(0, SAFE).served(), addr(1));
+    core.script.at(addr(1), |i| i.ends = [Outcome::Reset].into());
+    core.script.hold(addr(1), At::Answer);
+    let asked = core.submit(0, KEYED);
+    core.script.until(addr(1), |i| i.waits(At::Answer) == 1);
+    let begun = Instant::now();
+    core.script.at(addr(1), |i| i.closes = true);
+    core.script.hold(addr(1), At::Dial);
+    core.script.release(addr(1), At::Answer);
+    // The probe that a reset asks for, and the repeat.
+    core.script.until(addr(1), |i| i.waits(At::Dial) == 2);
+    // Not to wait for another thread: what is shown is that time passes.
+    std::thread::sleep(WINDOW.saturating_sub(begun.elapsed()) + Duration::from_millis(5));
+    core.script.release(addr(1), At::Dial);
+    let answer = asked.answer();
+    assert!(matches!(answer, Final::Failed(_)), "the first may have run: {answer:?}");
+    asked.over();
+    assert_eq!(core.script.written(addr(1)), 2, "a copy arrived after the window");
+}
+
 /// The actor of all instances is held over the close of a connection to instance 1, in group 0.
 fn held_actor(core: &mut Core, others: &[Entry]) {
     let all = [&[entry("a", 1, 0)], others].concat();
