Tell of a client's leaving as it comes, by an epoll set for the sockets' ends alone

Cause: a leaving was found by a look every client_watch (100 ms, postgres/src/front.rs answer()), already past the 0.1 s allowed. Where the reader was not in that look it was found late or never: after a message that can't be read (the reader waits for the writer), while clients are let go (standing() said Quiet whatever came, and the end of talk() told nothing), with the command row full. And part() shut the reading of a socket to wake its reader, which looks like a leaving from outside. Requests could also lose their answer: the one too many ahead was handed over and then dropped, and one that had no thread for its writer ended the connection unanswered. Ruled out: a shorter look (a system call per request and 10 ms; still blind in those states); poll in each thread (a blocked writer can't). EPOLLIN is not asked for: bytes wake nobody. Change: clients/src/departures.rs, one thread and one descriptor for all connections, each registered once at admission with EPOLLRDHUP | EPOLLONESHOT. A connection keeps the ids of its unanswered requests and whether its client has left under one lock: a request is handed over unless the client has left, and given up exactly once. What was read after the end is dropped. Both fronts go by it; where epoll can't be had, the look stays. talk() names its three ends: left, let go, broken. A request is taken only where its answer has a place; with no thread for a writer the reader answers by itself. Half a MySQL command is no leaving: what came before it is answered. tests/platform.rs: the new thread's name, "departures", stands in its list of threads that the platform's program has. Measured: green: clients/tests/departures.rs 2, postgres/tests/leaving.rs 2, tests/leaving.rs 8, platform 23, mysql 16. With the watch taken back three fail: a_client_that_leaves_is_noticed_without_a_look_at_it (given up at its time, 5 s and more), a_client_that_leaves_after_a_command_that_cannot_be_read_is_noticed and while_clients_are_let_go_one_that_leaves_is_noticed_and_one_that_stays_is_answered (never told). With the check of the row taken back too_many_commands_ahead_... fails (66 taken, 65 answered); with the reader's own answer taken back without_a_thread_for_a_writer_... fails. The other five of tests/leaving.rs pass without the fix, too: they hold what held.

--- a/clients/src/lib.rs
+++ b/clients/src/lib.rs
@@ -1,13 +1,15 @@
 //! The connections of clients, whatever wire they speak: accepted, bounded in number, and let go at shutdown
 //! without a request lost.
+pub mod departures;
 pub mod leaving;
 pub mod listening;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
+use departures::{Departures, Requests};
 use leaving::{Action, Event, Leaving, Step, Times};
 pub use listening::{Listening, PassedError};
-use routing::spawn;
 use routing::wire::{Until, idle_and_open, peek};
+use routing::{RequestId, spawn};
 use settings::Limits;
 use socket2::SockRef;
 use std::collections::HashMap;
@@ -21,6 +23,9 @@
 pub trait Talk: Send + Sync + 'static {
     /// Speaks with one client until either side ends it.
     fn talk(self: &Arc<Self>, connection: &Arc<Connection>);
+
+    /// The client of a request is gone: nobody waits for its answer.
+    fn left(&self, request: RequestId);
 }
 
 /// Set in [`Connection::owed`] once the connection takes no more commands.
@@ -32,6 +37,8 @@
     pub socket: TcpStream,
     /// Its number, not used twice.
     pub number: u64,
+    /// Its requests, and whether its client has left.
+    pub requests: Requests,
     since: Instant,
     limits: Arc<Limits>,
     /// Commands read and not answered yet. A count and a mark in one word: a command is either taken before the
@@ -127,10 +134,11 @@
                     self.retire();
                 }
             }
-            // Its reader wakes, carries out what has been read whole, and finds that it is to read no more.
+            // What has been read whole is carried out, and its last answer ends it. Its reader must not be woken by an
+            // end of the reading: that looks like a client's leaving.
             Step::Last => {
-                if self.begun.load(Ordering::SeqCst) || !self.retire() {
-                    _ = self.socket.shutdown(Shutdown::Read);
+                if !self.begun.load(Ordering::SeqCst) {
+                    self.retire();
                 }
             }
         }
@@ -212,6 +220,9 @@
 
     /// What the socket holds: nothing yet, more commands, or the client's end.
     pub fn standing(&self) -> Standing {
+        if self.requests.departed() {
+            return Standing::Gone;
+        }
         if self.let_go() {
             // What still comes is not for this process.
             return Standing::Quiet;
@@ -315,6 +326,7 @@
     most: AtomicUsize,
     manners: Arc<Manners>,
     accepting: Arc<AtomicBool>,
+    departures: Departures,
 }
 
 impl<T: Talk> Clients<T> {
@@ -323,7 +335,8 @@
         let (open, next, most) =
             (Mutex::default(), AtomicUsize::new(0), AtomicUsize::new(limits.client_connections));
         let (manners, accepting) = (Arc::default(), Arc::default());
-        Arc::new(Clients { front, limits, open, next, most, manners, accepting })
+        let departures = Departures::new();
+        Arc::new(Clients { front, limits, open, next, most, manners, accepting, departures })
     }
 
     fn open(&self) -> MutexGuard<'_, HashMap<u64, Arc<Connection>>> {
@@ -353,6 +366,10 @@
         let (clients, own) = (self.clone(), listening.try_clone()?);
         let (done, ended) = bounded::<()>(0);
         self.accepting.store(true, Ordering::Release);
+        let watched = self.clone();
+        spawn("departures", self.limits.stack_bytes, move || {
+            watched.departures.run(|number| watched.departed(number));
+        })?;
         spawn("accept", self.limits.stack_bytes, move || {
             clients.accept(&own);
             drop((own, done));
@@ -482,6 +499,14 @@
         }
     }
 
+    /// The client of a connection has left: nothing more is done for it.
+    fn departed(&self, number: u64) {
+        let connection = self.open().get(&number).cloned();
+        if let Some(connection) = connection {
+            connection.depart(|id| self.front.left(id));
+        }
+    }
+
     fn admit(self: &Arc<Self>, socket: TcpStream, from: SocketAddr) {
         let ready = socket.set_nonblocking(false).and_then(|()| socket.set_nodelay(true));
         let ready = ready.and_then(|()| socket.set_write_timeout(Some(self.limits.client_write)));
@@ -493,6 +518,7 @@
         let connection = Arc::new(Connection {
             socket,
             number,
+            requests: Requests::default(),
             since: Instant::now(),
             limits: self.limits.clone(),
             owed: AtomicUsize::new(0),
@@ -504,6 +530,7 @@
             manners,
         });
         self.open().insert(number, connection.clone());
+        self.departures.watch(&connection);
         let clients = self.clone();
         let talk = move || {
             clients.front.talk(&connection);
--- a/mysql/src/front.rs
+++ b/mysql/src/front.rs
@@ -8,7 +8,7 @@
 use crate::results::{AUTOCOMMIT, OK, eof, one_row};
 use crate::statement::{Need, Scan, need, scan};
 use crate::{Tap, command};
-use clients::{Connection, Talk};
+use clients::{Connection, Talk, timed_out};
 use crossbeam_channel::{Receiver, bounded};
 use routing::{Final, GroupId, Handle, Incoming, RequestId, Time, spawn};
 use sessions::Key;
@@ -18,7 +18,7 @@
 use settings::operator::Mysql as Settings;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::{Arc, RwLock};
 
 /// What all connections of the front share.
 pub struct Front {
@@ -53,19 +53,11 @@
     }
 }
 
-/// The request under way on a connection, seen by its reader.
-#[derive(Default)]
-struct UnderWay {
-    request: Option<RequestId>,
-    left: bool,
-}
-
 /// One client.
 struct Client<'a> {
     front: &'a Front,
     connection: &'a Connection,
     from: SocketAddr,
-    under_way: Arc<Mutex<UnderWay>>,
     user: String,
     multi_results: bool,
     statements: HashMap<u32, Prepared>,
@@ -80,10 +72,6 @@
 /// A command's answer: payloads, or an error.
 type Answered = Result<Payloads, (Code, String)>;
 
-fn lock(m: &Mutex<UnderWay>) -> std::sync::MutexGuard<'_, UnderWay> {
-    m.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 impl Talk for Front {
     fn talk(self: &Arc<Self>, connection: &Arc<Connection>) {
         let Ok(from) = connection.socket.peer_addr() else { return };
@@ -91,7 +79,6 @@
             front: self,
             connection,
             from,
-            under_way: Arc::default(),
             user: String::new(),
             multi_results: false,
             statements: HashMap::new(),
@@ -107,6 +94,10 @@
             tap.ended(connection.number);
         }
     }
+
+    fn left(&self, request: RequestId) {
+        self.handle.left(request);
+    }
 }
 
 impl Client<'_> {
@@ -205,7 +196,7 @@
 
     fn serve(&mut self, mut reader: Reader, connection: Arc<Connection>) {
         let (to, commands) = bounded(self.front.limits.pipelined);
-        let (under_way, handle) = (self.under_way.clone(), self.front.handle.clone());
+        let handle = self.front.handle.clone();
         let read = move || {
             loop {
                 let next = reader.next(connection.command(!reader.is_empty()));
@@ -214,15 +205,17 @@
                 }
                 let end = next.is_err();
                 if end {
-                    // Whoever is gone needs no answer; one that broke the protocol hears of it in its turn. Of one
-                    // that is let go it is this side that reads no more: what was read is answered.
-                    let gone = matches!(next, Err(Broken::Ended | Broken::Silent | Broken::Failed(_)));
+                    // Whoever is gone needs no answer; one that broke the protocol hears of it in its turn, and one
+                    // that stopped within a command gets what it is owed. Of one that is let go it is this side that
+                    // reads no more: what was read is answered, and where it has left, too, whoever watches its
+                    // socket says so.
+                    let gone = match &next {
+                        Err(Broken::Ended) => true,
+                        Err(Broken::Failed(e)) => !timed_out(e),
+                        _ => false,
+                    };
                     if gone && !connection.let_go() {
-                        let mut u = lock(&under_way);
-                        u.left = true;
-                        if let Some(id) = u.request {
-                            handle.left(id);
-                        }
+                        connection.depart(|id| handle.left(id));
                     }
                 } else if !connection.owe(!reader.is_empty()) {
                     return;
@@ -243,6 +236,10 @@
 
     fn work(&mut self, commands: &Receiver<Result<Packet, Broken>>) {
         for next in commands {
+            // What a client wrote before its end is not carried out after it.
+            if self.connection.requests.departed() {
+                return;
+            }
             let step = match next {
                 Ok(packet) => {
                     self.took(&packet);
@@ -379,24 +376,11 @@
             deadline = fleet.until(deadline);
         }
         let (answer, given) = bounded(1);
-        let id = self.front.handle.submit(Incoming {
-            class,
-            tenant,
-            session: None,
-            group,
-            deadline,
-            token,
-            payload,
-            answer,
-        });
-        {
-            let mut u = lock(&self.under_way);
-            u.request = Some(id);
-            if u.left {
-                self.front.handle.left(id);
-            }
-        }
+        let incoming = Incoming { class, tenant, session: None, group, deadline, token, payload, answer };
+        // Nobody reads what a client is answered that has left meanwhile.
+        let request = self.connection.requests.begin(|| self.front.handle.submit(incoming));
         let answer = given.recv().unwrap_or(Final::Failed(None));
+        request.into_iter().for_each(|id| _ = self.connection.requests.end(id));
         // A write is told to the client once no read of its session can miss it any more.
         if let Final::Served(_, Some(at)) = &answer
             && !settings.reading[class]
--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -10,7 +10,7 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
 use routing::{Final, GroupId, Handle, Incoming, Outcome, RequestId, SessionId, Settings, Time, spawn};
 use settings::Limits;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::TcpStream;
@@ -32,15 +32,29 @@
     set_aside: Mutex<isize>,
 }
 
-/// An open request's id, and what its statement holds of the pool; both are free again when this is dropped.
+/// An open request's id, and what its statement holds of the pool; both are free again when this is dropped. A request
+/// that has no answer by then is given up: nobody waits for it.
 struct Opened {
     front: Arc<Front>,
+    connection: Arc<Connection>,
+    /// Once it has been handed over.
+    request: Option<RequestId>,
     id: Vec<u8>,
     _room: Room,
 }
 
+impl Opened {
+    /// It has its answer.
+    fn answered(mut self) {
+        self.request.take().into_iter().for_each(|id| _ = self.connection.requests.end(id));
+    }
+}
+
 impl Drop for Opened {
     fn drop(&mut self) {
+        if let Some(id) = self.request.take().filter(|id| self.connection.requests.end(*id)) {
+            self.front.handle.left(id);
+        }
         self.front.ids().remove(&self.id);
     }
 }
@@ -56,6 +70,24 @@
 /// Where a request's final answer comes out.
 type Given = Receiver<Final<Vec<u8>>>;
 
+/// Why a connection is read no further.
+enum End {
+    /// Its client has left, or takes no answers: its requests are given up.
+    Left,
+    /// It is this side that reads no more, or it is retired already: what was read is answered.
+    LetGo,
+    /// Its client broke the protocol: it gets what it is owed and then hears why the connection ends.
+    Broken(io::Error),
+}
+
+/// Why a request is not handed over.
+enum Unsubmitted {
+    /// With this code and text.
+    Refused(&'static str, &'static str),
+    /// Its client has left meanwhile.
+    Departed,
+}
+
 impl Talk for Front {
     /// Reads one connection to its end.
     fn talk(self: &Arc<Self>, connection: &Arc<Connection>) {
@@ -66,22 +98,34 @@
             Ok(false) => return,
             Err(e) => return self.hang_up(socket, &e),
         }
-        // Requests that may still be under way, for the case that the client leaves.
-        let mut under_way = VecDeque::with_capacity(self.limits.pipelined + 2);
-        let (mut skip_to_sync, mut writer) = (false, None);
+        let (mut skip_to_sync, mut writer) = (false, None::<Writer>);
         let end = loop {
             let frame = match buffer.next(connection.command(!buffer.is_empty())) {
                 Ok(Some(f)) if f.tag != b'X' => f,
-                Ok(_) => break None,
-                Err(e) if timed_out(&e) && !buffer.is_empty() => break Some(invalid("half a message")),
+                Ok(Some(_)) => break End::Left,
+                Err(e) if timed_out(&e) && !buffer.is_empty() => {
+                    break End::Broken(invalid("half a message"));
+                }
                 Err(e) if timed_out(&e) && !connection.retire_if_spent() => continue,
-                Err(e) => break Some(e),
+                Err(e) if timed_out(&e) => break End::LetGo,
+                Err(e) if e.kind() == io::ErrorKind::InvalidData => break End::Broken(e),
+                // Where the client has left, too, whoever watches its socket says so.
+                Ok(None) | Err(_) if connection.let_go() => break End::LetGo,
+                Ok(None) | Err(_) => break End::Left,
             };
+            // What it wrote before its end is not carried out after it.
+            if connection.requests.departed() {
+                break End::Left;
+            }
+            // A request is not taken where its answer has no place in the row.
+            if frame.tag == b'Q' && writer.as_ref().is_some_and(|w| w.owe.is_full()) {
+                break End::Broken(invalid(TOO_MANY));
+            }
             if !connection.owe(!buffer.is_empty()) {
-                break None;
+                break End::LetGo;
             }
             connection.faulty(false);
-            let next = self.command(connection, &buffer, &frame, &mut under_way, &mut skip_to_sync);
+            let next = self.command(connection, &buffer, &frame, &mut skip_to_sync);
             match &next {
                 Some(Owed::Error(_)) => connection.faulty(true),
                 Some(Owed::Answer(..)) => connection.requested(),
@@ -91,44 +135,45 @@
                 // One command at a time needs no writer.
                 Some(next) if writer.is_none() => match self.answer(connection, &buffer, next) {
                     Step::Answered => continue,
-                    Step::Gone => break None,
+                    Step::Gone => break End::Left,
                     Step::Ahead(next) => Some(next),
                 },
                 next => next,
             };
-            match next {
-                Some(next) => {
-                    if writer.is_none() {
-                        writer = self.writer(connection);
-                    }
-                    match writer.as_ref().map(|w| w.owe.try_send(next)) {
-                        Some(Ok(())) => {}
-                        Some(Err(TrySendError::Full(_))) => {
-                            break Some(invalid("too many commands ahead of their answers"));
-                        }
-                        Some(Err(TrySendError::Disconnected(_))) | None => break None,
-                    }
-                }
-                None => {
-                    connection.paid();
+            let Some(next) = next else {
+                connection.paid();
+                continue;
+            };
+            if writer.is_none() {
+                writer = self.writer(connection);
+            }
+            let Some(w) = &writer else {
+                // No thread is to be had: its answer is waited for here, and the next command is read after it.
+                match self.answer_alone(connection, next) {
+                    true => continue,
+                    false => break End::Left,
                 }
+            };
+            match w.owe.try_send(next) {
+                Ok(()) => {}
+                Err(TrySendError::Full(_)) => break End::Broken(invalid(TOO_MANY)),
+                Err(TrySendError::Disconnected(_)) => break End::Left,
             }
         };
-        // A client that broke the protocol gets what it is owed and then hears why the connection ends.
-        if let Some(e) = end.filter(|e| e.kind() == io::ErrorKind::InvalidData) {
-            match &writer {
-                None => self.hang_up(socket, &e),
-                Some(w) => {
-                    let mut text = Vec::new();
-                    push_error(&mut text, "FATAL", "08P01", &e.to_string(), None);
-                    if connection.owe(false) {
-                        _ = w.owe.send(Owed::Ready(text));
-                    }
+        if let End::Broken(e) = &end {
+            tracing::debug!("client {}: {e}", connection.number);
+        }
+        match (end, &writer) {
+            (End::LetGo, _) => {}
+            (End::Left, _) => self.give_up(connection),
+            (End::Broken(e), None) => self.hang_up(socket, &e),
+            (End::Broken(e), Some(w)) => {
+                let mut text = Vec::new();
+                push_error(&mut text, "FATAL", "08P01", &e.to_string(), None);
+                if connection.owe(false) {
+                    _ = w.owe.send(Owed::Ready(text));
                 }
             }
-        } else if !connection.let_go() {
-            // Of one that is let go it is this side that reads no more: what was read is answered.
-            under_way.iter().for_each(|id| self.handle.left(*id));
         }
         if let Some(Writer { owe, ended }) = writer {
             drop(owe);
@@ -136,8 +181,15 @@
             _ = ended.recv();
         }
     }
+
+    fn left(&self, request: RequestId) {
+        self.handle.left(request);
+    }
 }
 
+/// What a client hears that asks further ahead of its answers than is kept for one.
+const TOO_MANY: &str = "too many commands ahead of their answers";
+
 /// The thread that writes the answers of a client which asks ahead of them.
 struct Writer {
     owe: Sender<Owed>,
@@ -208,15 +260,14 @@
     /// What is owed for one message, if anything.
     fn command(
         self: &Arc<Self>,
-        connection: &Connection,
+        connection: &Arc<Connection>,
         buffer: &Buffer,
         frame: &Frame,
-        under_way: &mut VecDeque<RequestId>,
         skip_to_sync: &mut bool,
     ) -> Option<Owed> {
         let mut ready = Vec::new();
         match frame.tag {
-            b'Q' => return Some(self.query(connection, buffer, frame, under_way)),
+            b'Q' => return self.query(connection, buffer, frame),
             b'S' => {
                 *skip_to_sync = false;
                 ready.extend_from_slice(READY);
@@ -237,13 +288,7 @@
         Some(Owed::Ready(ready))
     }
 
-    fn query(
-        self: &Arc<Self>,
-        connection: &Connection,
-        buffer: &Buffer,
-        frame: &Frame,
-        under_way: &mut VecDeque<RequestId>,
-    ) -> Owed {
+    fn query(self: &Arc<Self>, connection: &Arc<Connection>, buffer: &Buffer, frame: &Frame) -> Option<Owed> {
         let body = buffer.get(frame.body());
         let text = body.strip_suffix(b"\0").unwrap_or(body).trim_ascii();
         let mut ready = Vec::new();
@@ -256,52 +301,50 @@
         } else if matches!(&word[..], b"SET" | b"RESET" | b"DISCARD") {
             push(&mut ready, b'C', &[&word, b"\0"]);
         } else {
-            match self.submit(buffer.get(frame.whole.clone())) {
-                Ok((id, answer, opened)) => {
-                    // The writer has answered all but the newest of these.
-                    while under_way.len() > self.limits.pipelined + 1 {
-                        under_way.pop_front();
-                    }
-                    under_way.push_back(id);
-                    return Owed::Answer(answer, opened);
-                }
-                Err((code, what)) => {
+            match self.submit(connection, buffer.get(frame.whole.clone())) {
+                Ok((answer, opened)) => return Some(Owed::Answer(answer, opened)),
+                Err(Unsubmitted::Departed) => return None,
+                Err(Unsubmitted::Refused(code, what)) => {
                     push_error(&mut ready, "ERROR", code, what, None);
                     ready.extend_from_slice(READY);
-                    return Owed::Error(ready);
+                    return Some(Owed::Error(ready));
                 }
             }
         }
         ready.extend_from_slice(READY);
-        Owed::Ready(ready)
+        Some(Owed::Ready(ready))
     }
 
     fn submit(
         self: &Arc<Self>,
+        connection: &Arc<Connection>,
         message: &[u8],
-    ) -> Result<(RequestId, Given, Opened), (&'static str, &'static str)> {
+    ) -> Result<(Given, Opened), Unsubmitted> {
+        let refused = Unsubmitted::Refused;
         let now = self.handle.clock.now();
         let mut room = Room::new(&self.pool);
         let held = room.grow(message.len());
-        let statement = Statement::parse(message).map_err(|m| ("42601", m.0))?;
-        let unknown = ("42601", "the comment names an unknown class");
-        let (class, longest) = *self.classes.get(statement.class()).ok_or(unknown)?;
+        let statement = Statement::parse(message).map_err(|m| refused("42601", m.0))?;
+        let known = self.classes.get(statement.class());
+        let (class, longest) =
+            *known.ok_or_else(|| refused("42601", "the comment names an unknown class"))?;
         if !held {
             self.handle.refused(class);
-            return Err(("53300", "refused: too much is under way"));
+            return Err(refused("53300", "refused: too much is under way"));
         }
         let id = statement.id().to_vec();
         if !self.ids().insert(id.clone()) {
-            return Err(("42710", "a request of this id is open"));
+            return Err(refused("42710", "a request of this id is open"));
         }
-        let opened = Opened { front: self.clone(), id, _room: room };
+        let connection = connection.clone();
+        let mut opened = Opened { front: self.clone(), connection, request: None, id, _room: room };
         let session = statement.key().map(|k| {
             let mut h = DefaultHasher::new();
             k.hash(&mut h);
             SessionId(h.finish())
         });
         let (answer, given) = bounded(1);
-        let id = self.handle.submit(Incoming {
+        let incoming = Incoming {
             class,
             tenant: None,
             session,
@@ -311,8 +354,12 @@
             token: statement.after_ms.map(|ms| Time(ms.saturating_mul(1000))),
             payload: statement,
             answer,
-        });
-        Ok((id, given, opened))
+        };
+        opened.request = opened.connection.requests.begin(|| self.handle.submit(incoming));
+        match opened.request {
+            Some(_) => Ok((given, opened)),
+            None => Err(Unsubmitted::Departed),
+        }
     }
 
     fn writer(self: &Arc<Self>, connection: &Arc<Connection>) -> Option<Writer> {
@@ -327,6 +374,11 @@
         Some(Writer { owe, ended })
     }
 
+    /// Nobody takes the answers to what is in flight on a connection any more.
+    fn give_up(&self, connection: &Connection) {
+        connection.depart(|id| self.handle.left(id));
+    }
+
     /// Answers a command on the reader's own thread: most clients ask one thing at a time, and a second thread for
     /// each costs memory and, where the machine stops and starts the process, time.
     fn answer(&self, connection: &Connection, buffer: &Buffer, next: Owed) -> Step {
@@ -338,43 +390,35 @@
                 }
                 match given.recv_timeout(self.limits.client_watch) {
                     Ok(answer) => {
-                        drop(opened);
+                        opened.answered();
                         break worded(answer);
                     }
                     Err(RecvTimeoutError::Timeout) => match connection.standing() {
                         Standing::Quiet => {}
                         Standing::Asking => return Step::Ahead(Owed::Answer(given, opened)),
-                        Standing::Gone => return Step::Gone,
+                        Standing::Gone => {
+                            self.give_up(connection);
+                            return Step::Gone;
+                        }
                     },
                     Err(RecvTimeoutError::Disconnected) => return Step::Gone,
                 }
             },
         };
-        connection.part_with();
-        let written = write_gathered(&connection.socket, &[&text]);
-        connection.paid();
-        if written.is_ok() { Step::Answered } else { Step::Gone }
+        if hand_out(connection, &text) { Step::Answered } else { Step::Gone }
+    }
+
+    /// Answers a command on the reader's own thread, whatever else its client asks meanwhile; `false` where nobody
+    /// takes the answer.
+    fn answer_alone(&self, connection: &Connection, next: Owed) -> bool {
+        owed_text(next).is_some_and(|text| hand_out(connection, &text))
     }
 
     /// Writes answers in order until the reader is done or the client takes no more.
     fn write(&self, connection: &Connection, owed: &Receiver<Owed>) {
         for next in owed {
-            let text = match next {
-                Owed::Ready(text) | Owed::Error(text) => text,
-                Owed::Answer(given, opened) => match given.recv() {
-                    Ok(answer) => {
-                        // Its client may use the id again as soon as it has the answer.
-                        drop(opened);
-                        worded(answer)
-                    }
-                    // Nobody will answer any more: its client has left, or the program ends.
-                    Err(_) => break,
-                },
-            };
-            connection.part_with();
-            let written = write_gathered(&connection.socket, &[&text]);
-            connection.paid();
-            if written.is_err() {
+            if !self.answer_alone(connection, next) {
+                self.give_up(connection);
                 break;
             }
         }
@@ -383,6 +427,26 @@
     }
 }
 
+/// Waits for what is owed; `None` where nobody will answer any more: its client has left, or the program ends.
+fn owed_text(next: Owed) -> Option<Vec<u8>> {
+    match next {
+        Owed::Ready(text) | Owed::Error(text) => Some(text),
+        Owed::Answer(given, opened) => given.recv().ok().map(|answer| {
+            // Its client may use the id again as soon as it has the answer.
+            opened.answered();
+            worded(answer)
+        }),
+    }
+}
+
+/// Writes an answer, which pays for its command; `false` where the client takes no more.
+fn hand_out(connection: &Connection, text: &[u8]) -> bool {
+    connection.part_with();
+    let written = write_gathered(&connection.socket, &[text]);
+    connection.paid();
+    written.is_ok()
+}
+
 /// A final answer in PostgreSQL's words.
 fn worded(answer: Final<Vec<u8>>) -> Vec<u8> {
     let mut text = match answer {
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,350 @@
+//! Clients that leave: the real program between a stand-in client, an instance and discovery. What the router
+//! has noticed is read off its log, line by line; nothing waits by sleeping.
+mod common;
+use common::front::*;
+use common::{Discovery, Folder, LONG, Program, take};
+use serde_json::{Value, json};
+use socket2::SockRef;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// A router whose list is told by the test.
+struct Site {
+    router: Program,
+    addr: SocketAddr,
+    lines: Sender<String>,
+    version: u32,
+    _discovery: Discovery,
+    _folder: Folder,
+}
+
+impl Site {
+    /// With these instances, or with none: then what is asked waits for the first.
+    fn start(known: Vec<Value>) -> Site {
+        Site::started(known, true)
+    }
+
+    /// The same; without probes, a connection to an instance is one for a request.
+    fn started(known: Vec<Value>, probes: bool) -> Site {
+        let discovery = Discovery::start();
+        let folder = Folder::new();
+        let mut config = config(discovery.addr, known);
+        // Time enough for what a test does while a request waits or a connection comes up.
+        config["settings"]["limits"]["dialTimeoutMs"] = json!(5000.0);
+        config["settings"]["limits"]["probes"] = json!(probes);
+        for class in config["settings"]["classes"].as_array_mut().unwrap() {
+            (class["deadlineMs"], class["objectiveMs"]) = (json!(8000.0), json!(8000.0));
+        }
+        let path = folder.write("config.json", &config.to_string());
+        let env = [("BALANCER_CONFIG", path.to_str().unwrap()), ("DAMSONVALE_LOG", "debug")];
+        let mut router = Program::start(&[], &env);
+        let addr = router.listening();
+        let (_, lines) = discovery.watch();
+        Site { router, addr, lines, version: 41, _discovery: discovery, _folder: folder }
+    }
+
+    /// The whole list from now on; returns when it binds.
+    fn list(&mut self, entries: &[Value]) {
+        self.version += 1;
+        let line = json!({"version": self.version, "full": true, "servers": entries}).to_string();
+        self.lines.send(line).unwrap();
+        self.router.logged(&format!("list: version {} ", self.version));
+    }
+
+    /// A client's request has come to the module; they are counted from 0 on.
+    fn came(&mut self, request: usize) {
+        self.router.logged(&format!("event Request(Request {{ id: RequestId({request}),"));
+    }
+
+    /// So many requests of some client have been given up with it.
+    fn left(&mut self, requests: usize) {
+        self.router.logged(&format!(" has left {requests} requests"));
+    }
+
+    /// Whether an attempt was ever wanted for a request. Lines come in the order in which the module decides.
+    fn sent(&mut self, request: usize) -> bool {
+        let line = format!("action Send {{ request: RequestId({request}),");
+        self.router.so_far().iter().any(|l| l.contains(&line))
+    }
+
+    /// The router ends by SIGTERM; all that it has written by then is there to be looked at.
+    fn end(mut self) -> Program {
+        self.router.terminate();
+        self.router.logged("shutdown: ended");
+        self.router
+    }
+}
+
+/// Resets the connection instead of ending it.
+fn reset(client: Client) {
+    SockRef::from(&client.0).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+fn query(sql: &str) -> Vec<u8> {
+    message(b'Q', format!("{sql}\0").as_bytes())
+}
+
+/// A primary, what reaches it, and its line of the list.
+fn primary() -> (Instance, Receiver<String>, Value) {
+    let (instance, heard) = Instance::start("primary", true);
+    let entry = instance.entry("in_service");
+    (instance, heard, entry)
+}
+
+#[test]
+fn a_request_whose_client_leaves_while_it_waits_goes_nowhere() {
+    let (instance, _heard, entry) = primary();
+    let ends: [fn(Client); 3] = [drop, reset, |client| {
+        // On the wire the end of sending can't be told from a close.
+        client.0.shutdown(Shutdown::Write).unwrap();
+        let mut rest = Vec::new();
+        _ = (&client.0).read_to_end(&mut rest);
+        assert!(rest.is_empty(), "{rest:?}");
+    }];
+    for end in ends {
+        let mut site = Site::start(vec![]);
+        let client = Client::connect(site.addr);
+        client.write(&insert("w1", 7900));
+        site.came(0);
+        end(client);
+        site.left(1);
+        site.list(std::slice::from_ref(&entry));
+        // The id is free again, too.
+        Client::connect(site.addr).until(&insert("w1", 7900), "primary");
+        assert!(!site.sent(0));
+    }
+    assert_eq!(instance.ran("w1"), 3);
+}
+
+#[test]
+fn commands_ahead_of_their_answers_go_nowhere_once_their_client_has_left() {
+    let (instance, _heard, entry) = primary();
+    for end in [drop, reset] {
+        let mut site = Site::start(vec![]);
+        let client = Client::connect(site.addr);
+        // With a writer beside the reader.
+        (&client.0).write_all(&[query(&insert("w1", 7900)), query(&insert("w2", 7900))].concat()).unwrap();
+        site.came(0);
+        site.came(1);
+        end(client);
+        site.left(2);
+        site.list(std::slice::from_ref(&entry));
+        Client::connect(site.addr).until(&insert("w3", 7900), "primary");
+        assert!(!site.sent(0) && !site.sent(1));
+    }
+    assert_eq!(instance.ran("w1") + instance.ran("w2"), 0);
+}
+
+#[test]
+fn requests_and_an_end_that_come_at_once_leave_nothing_under_way() {
+    let (instance, _heard, entry) = primary();
+    let mut site = Site::start(vec![]);
+    let client = Client::connect(site.addr);
+    let all: Vec<u8> = (0..20).flat_map(|n| query(&insert(&format!("w{n}"), 7900))).collect();
+    (&client.0).write_all(&all).unwrap();
+    drop(client);
+    // However many were read before the end was seen, the rest is dropped.
+    site.router.logged(" has left ");
+    site.list(&[entry]);
+    Client::connect(site.addr).until(&insert("other", 7900), "primary");
+    let ran = instance.ran.lock().unwrap().clone();
+    assert!(ran.iter().all(|s| s.contains("id=other,")), "{ran:?}");
+}
+
+#[test]
+fn a_client_that_leaves_after_a_command_that_cannot_be_read_is_noticed() {
+    // Its reader reads no more: it waits until what is owed has been written.
+    let (instance, _heard, entry) = primary();
+    let mut site = Site::start(vec![]);
+    let client = Client::connect(site.addr);
+    let broken = b"Q\0\0\0\x01".to_vec();
+    (&client.0)
+        .write_all(&[query(&insert("w1", 7900)), query(&insert("w2", 7900)), broken].concat())
+        .unwrap();
+    site.came(0);
+    site.came(1);
+    drop(client);
+    site.left(2);
+    site.list(&[entry]);
+    Client::connect(site.addr).until(&insert("w3", 7900), "primary");
+    assert!(!site.sent(0) && !site.sent(1));
+    assert_eq!(instance.ran("w1") + instance.ran("w2"), 0);
+}
+
+#[test]
+fn a_client_that_stays_after_a_command_that_cannot_be_read_gets_all_that_it_is_owed() {
+    let (_instance, _heard, entry) = primary();
+    let mut site = Site::start(vec![]);
+    let client = Client::connect(site.addr);
+    let broken = b"Q\0\0\0\x01".to_vec();
+    (&client.0)
+        .write_all(&[query(&insert("w1", 7900)), query(&insert("w2", 7900)), broken].concat())
+        .unwrap();
+    site.came(1);
+    site.list(&[entry]);
+    assert_eq!([client.answer(), client.answer()], [served("primary"), served("primary")]);
+    let (tag, why) = read(&client.0).unwrap();
+    assert!(tag == b'E' && String::from_utf8_lossy(&why).contains("08P01"));
+    assert!(read(&client.0).is_err());
+}
+
+#[test]
+fn while_clients_are_let_go_one_that_leaves_is_noticed_and_one_that_stays_is_answered() {
+    let mut site = Site::start(vec![]);
+    let (witness, stays, leaves) =
+        (Client::connect(site.addr), Client::connect(site.addr), Client::connect(site.addr));
+    assert_eq!(witness.ask(""), Answer::Empty);
+    leaves.write(&insert("w1", 7900));
+    site.came(0);
+    stays.write(&insert("w2", 7900));
+    site.came(1);
+    site.router.terminate();
+    site.router.logged("shutdown: taking requests");
+    // Half a command keeps its connection until nothing more is read of anybody.
+    (&witness.0).write_all(b"Q\0\x02\0\0SELECT").unwrap();
+    while read(&witness.0).is_ok() {}
+    drop(leaves);
+    site.left(1);
+    assert!(!site.sent(0));
+    // Nobody can take it: it is refused when its time is up, and not before.
+    assert!(matches!(stays.answer(), Answer::Error(code, _) if code == "53300"));
+    site.router.logged("shutdown: ended with 0 connections left");
+}
+
+/// An instance whose connections come up when the test says so.
+struct Withheld {
+    addr: SocketAddr,
+    /// A connection has come and its startup was read; a word to this lets it come up.
+    dialled: Receiver<Sender<()>>,
+    /// What was read of each connection, at its end.
+    ended: Receiver<Vec<String>>,
+    /// Connections that have come.
+    came: Arc<AtomicUsize>,
+}
+
+impl Withheld {
+    fn start() -> Withheld {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (dials, dialled) = channel();
+        let (to, ended) = channel();
+        let came = Arc::new(AtomicUsize::new(0));
+        let count = came.clone();
+        std::thread::spawn(move || {
+            for socket in listener.incoming() {
+                count.fetch_add(1, Ordering::SeqCst);
+                let (socket, dials, to) = (socket.unwrap(), dials.clone(), to.clone());
+                std::thread::spawn(move || {
+                    let mut read = Vec::new();
+                    Withheld::talk(&socket, &dials, &mut read);
+                    _ = to.send(read);
+                });
+            }
+        });
+        Withheld { addr, dialled, ended, came }
+    }
+
+    fn talk(socket: &TcpStream, dials: &Sender<Sender<()>>, statements: &mut Vec<String>) -> Option<()> {
+        let length = take(socket, 4).ok()?;
+        take(socket, u32::from_be_bytes(length.try_into().ok()?) as usize - 4).ok()?;
+        let (release, released) = channel();
+        dials.send(release).ok()?;
+        released.recv().ok()?;
+        let mut out = socket;
+        out.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat()).ok()?;
+        loop {
+            let (_, body) = read(socket).ok()?;
+            let sql = String::from_utf8(body).ok()?;
+            statements.push(sql.trim_end_matches('\0').to_string());
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.as_secs_f64();
+            let report = format!("x0={now},x1=1,util=0.1,queue=0");
+            out.write_all(&[row(&report), message(b'Z', b"I")].concat()).ok()?;
+        }
+    }
+}
+
+/// Ends a request whose attempt waits for its connection, lets that come up, and shows that nothing was written on it.
+fn ends_while_it_dials(end: impl FnOnce(&mut Site, Client, CancelKey)) {
+    let Withheld { addr, dialled, ended, came } = Withheld::start();
+    let slow = json!({"id": "slow", "addr": addr.to_string(), "zone": "a", "kind": "k", "cell": 3, "state": "in_service",
+        "weight": 1.0, "started_ms": 0, "mode": "read-write"});
+    let mut site = Site::started(vec![slow], false);
+    let (client, key) = keyed(site.addr);
+    client.write(&insert("w1", 7900));
+    let release = dialled.recv_timeout(LONG).unwrap();
+    end(&mut site, client, key);
+    site.router.logged("event ClientLeft { request: RequestId(0) }");
+    // What goes to the instance goes in order: with the next attempt, the end of the first one has come there.
+    let other = Client::connect(site.addr);
+    other.write(&insert("w2", 7900));
+    let next = dialled.recv_timeout(LONG).unwrap();
+    release.send(()).unwrap();
+    site.router.logged("event Outcome { request: RequestId(0), attempt: 0,");
+    next.send(()).unwrap();
+    assert!(matches!(other.answer(), Answer::Row(_)));
+    // With the router gone, the instance has all that it will ever get.
+    assert_eq!(site.end().ended().0, Some(0));
+    for _ in 0..came.load(Ordering::SeqCst) {
+        let read = ended.recv_timeout(LONG).unwrap();
+        assert!(read.iter().all(|s| s.is_empty() || s.contains("id=w2,")), "{read:?}");
+    }
+}
+
+#[test]
+fn an_attempt_that_still_dials_writes_nothing_once_its_client_has_left() {
+    ends_while_it_dials(|site, client, _| {
+        drop(client);
+        site.left(1);
+    });
+}
+
+#[test]
+fn too_many_commands_ahead_end_the_connection_after_an_answer_to_each_that_was_taken() {
+    let (_instance, _heard, entry) = primary();
+    let mut site = Site::start(vec![]);
+    let client = Client::connect(site.addr);
+    for n in 0..64 {
+        client.write(&insert(&format!("w{n}"), 7900));
+        site.came(n);
+    }
+    // The writer has the first and 63 wait behind it: of these two, one has a place yet.
+    (&client.0).write_all(&[query(&insert("x1", 7900)), query(&insert("x2", 7900))].concat()).unwrap();
+    site.router.logged("too many commands ahead");
+    site.list(&[entry]);
+    let mut answers = 0;
+    let end = loop {
+        let (tag, body) = read(&client.0).unwrap();
+        match tag {
+            b'Z' => answers += 1,
+            b'E' if String::from_utf8_lossy(&body).contains("08P01") => break body,
+            _ => {}
+        }
+    };
+    assert!(String::from_utf8_lossy(&end).contains("too many commands"));
+    assert!(read(&client.0).is_err());
+    let mut router = site.end();
+    let requests = router.so_far().iter().filter(|l| l.contains("event Request(")).count();
+    assert_eq!(answers, requests, "each that was taken has its answer");
+}
+
+type CancelKey = [u8; 8];
+
+/// A client, and the key that it was told.
+fn keyed(addr: SocketAddr) -> (Client, CancelKey) {
+    let socket = TcpStream::connect(addr).unwrap();
+    socket.set_read_timeout(Some(LONG)).unwrap();
+    let body = b"\0\x03\0\0user\0worker\0database\0catalog\0\0";
+    (&socket).write_all(&[&(body.len() as u32 + 4).to_be_bytes()[..], body].concat()).unwrap();
+    let mut key = None;
+    loop {
+        match read(&socket).unwrap() {
+            (b'K', body) => key = Some(body.try_into().unwrap()),
+            (b'Z', _) => return (Client(socket), key.expect("a key")),
+            _ => {}
+        }
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -298,6 +298,7 @@
         "answers",
         "client",
         "damsonvale",
+        "departures",
         "discovery",
         "link",
         "list",
