Give a whole row in time when its instance hangs, and trust nothing of a spoilt answer

Need: answers of instances may be cut at every byte, in every way. Read against that, four things were wrong. 1. After CommandComplete, or a whole ErrorResponse, the link waited for ReadyForQuery up to the attempt's time and half a second more. The module times an attempt out at exactly that time and drops it, so of an instance that hung behind its row the row was lost as a time-out. 2. A refusal (53300, 57P03) or a miss (25006, 72000) was taken as proof that nothing ran whatever came behind it, a row included: an unasked error in front of an answer sent a write out a second time. 3. Notes of an answer that was found to be spoilt by an impossible length, by its size, by an error amid a row, or by bytes behind its end were trusted. 4. Where the note of a write's commit was lost behind its row, a session that the router remembers for did not have to see that write.

Ruled out: asking ReadyForQuery of every row (what came whole counts), giving the row before its notes (they are on their way with it as a rule), taking a refusal with nothing behind it for one (it may be unasked, and a statement that may not be repeated is not worth the guess; with severity FATAL, or an end of the connection behind it, the session is over and nothing of it can run).

Change: what an answer comes to is a parser of its own without socket and clock (answer.rs), moved out of link.rs. Behind a whole row or error the rest may take `answer_settle`, 60 ms, and half of what is left at most. A code that says that nothing ran counts with ReadyForQuery, with the connection's end, or with FATAL and silence.

--- a/postgres/src/lib.rs
+++ b/postgres/src/lib.rs
@@ -1,7 +1,8 @@
 //! The platform's wire: PostgreSQL's protocol, version 3, simple queries only.
 //!
-//! [`front`] speaks with clients and [`link`] with instances; both stand on [`message`] for framing and on
-//! [`statement`] for what a query's comment says.
+//! [`front`] speaks with clients and [`link`] with instances, whose answers [`answer`] takes in; all stand on [`message`]
+//! for framing and on [`statement`] for what a query's comment says.
+pub mod answer;
 pub mod front;
 pub mod link;
 pub mod message;
--- a/postgres/src/message.rs
+++ b/postgres/src/message.rs
@@ -103,6 +103,16 @@
         self.start == self.end
     }
 
+    /// What has been read ahead, behind the last message.
+    pub fn ahead(&self) -> &[u8] {
+        &self.bytes[self.start..self.end]
+    }
+
+    /// How much memory it takes up.
+    pub fn held(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Reads until `n` bytes stand in the buffer; `false` at an orderly end before the first of them. Room is made
     /// as the bytes come: a length alone, which costs its sender nothing, must reserve none.
     fn fill(&mut self, mut from: impl Read, n: usize) -> io::Result<bool> {
@@ -204,20 +214,32 @@
     push(to, b'S', &[name.as_bytes(), b"\0", value.as_bytes(), b"\0"]);
 }
 
-/// The code of an ErrorResponse's body; `None` where the body can't be read.
-pub fn error_code(body: &[u8]) -> Option<&str> {
+/// What an ErrorResponse says.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ErrorFields<'a> {
+    /// Its code.
+    pub code: &'a str,
+    /// The session ends with it: no ReadyForQuery follows, and nothing else is carried out.
+    pub fatal: bool,
+}
+
+/// Reads an ErrorResponse's body; `None` where it can't be read.
+pub fn error(body: &[u8]) -> Option<ErrorFields<'_>> {
     let fields = body.strip_suffix(b"\0\0")?;
-    let mut code = None;
+    let (mut code, mut severity, mut severity_untranslated) = (None, None, None);
     for field in fields.split(|b| *b == 0) {
         let (name, value) = field.split_first()?;
-        if !name.is_ascii_alphabetic() || std::str::from_utf8(value).is_err() {
-            return None;
-        }
-        if *name == b'C' {
-            code = std::str::from_utf8(value).ok();
+        let value = std::str::from_utf8(value).ok().filter(|_| name.is_ascii_alphabetic())?;
+        match name {
+            b'C' => code = Some(value),
+            b'S' => severity = Some(value),
+            b'V' => severity_untranslated = Some(value),
+            _ => {}
         }
     }
-    code.filter(|c| c.len() == 5 && c.bytes().all(|b| b.is_ascii_uppercase() || b.is_ascii_digit()))
+    let fatal = severity_untranslated.or(severity).is_some_and(|s| matches!(s, "FATAL" | "PANIC"));
+    let is_code = |c: &&str| c.len() == 5 && c.bytes().all(|b| b.is_ascii_uppercase() || b.is_ascii_digit());
+    code.filter(is_code).map(|code| ErrorFields { code, fatal })
 }
 
 /// Name and value of a ParameterStatus's body; `None` where the body can't be read.
--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -106,6 +106,9 @@
     /// How long a link rests after an answer before it is looked at and used again: what an instance sends behind
     /// an answer would otherwise be taken for the next one.
     pub link_settle: Duration,
+    /// How long an instance may take from a whole row, or a whole error, to the end of its answer: one that hangs
+    /// there must not keep a client from what has come. Never more than half of the time that is left.
+    pub answer_settle: Duration,
     /// A client that takes none of its answer for this long is given up.
     pub client_write: Duration,
     /// How long a link listens on after the module has stopped waiting, should nobody close it.
@@ -224,6 +227,7 @@
             client_idle_least: Duration::from_secs(2),
             link_idle_least: Duration::from_millis(500),
             link_settle: Duration::from_millis(5),
+            answer_settle: Duration::from_millis(60),
             client_write: Duration::from_secs(5),
             link_backstop: Duration::from_millis(500),
             module_stack_bytes: 512 * 1024,
