Bound a link's opening as a whole, and look at it once more right before the write

Need: a greeting, a resting link and an unasked message may come in any order and stop at any byte. 1. Opening a link could take twice `limits.connect`: once for the connection and once more for its greeting. 2. Bytes behind the greeting's end were thrown away with its buffer; or, when they came a moment later, stood in front of the first answer. 3. 57P03 in a greeting counted as no connection, not as the refusal that it is. 4. An error that came between the look at a resting link and the write of the statement (the link may be asked across for 40 ms meanwhile) was read as the statement's answer.

Ruled out: telling an unasked error from an answer by what it says.

Change: one moment bounds connection and greeting; a greeting with bytes behind it opens no link; 57P03 is Full; a link on which anything has come is left before the first byte is written, which sends the work to a new one.

--- a/postgres/src/link.rs
+++ b/postgres/src/link.rs
@@ -39,11 +39,13 @@
 
     fn open(&self, addr: SocketAddr) -> Result<PostgresLink, Outcome> {
         let failed = |_: io::Error| Outcome::ConnectFailed;
+        // As a whole: an instance that accepts late has less time for its greeting.
+        let until = Instant::now() + self.limits.connect;
         let socket = connect(addr, &self.limits).map_err(failed)?;
         write_gathered(&socket, &[b"\0\0\0\x26\0\x03\0\0user\0worker\0database\0catalog\0\0"])
             .map_err(failed)?;
         let mut buffer = Buffer::new(BESIDE);
-        let (until, mut left) = (Instant::now() + self.limits.connect, BESIDE);
+        let mut left = BESIDE;
         loop {
             let Some(frame) = buffer.next(Until(&socket, until)).map_err(failed)? else {
                 return Err(Outcome::ConnectFailed);
@@ -51,8 +53,11 @@
             let body = buffer.get(frame.body());
             left = left.checked_sub(frame.whole.len()).ok_or(Outcome::ConnectFailed)?;
             match frame.tag {
-                b'Z' if body == b"I" => break,
-                b'E' if error(body).is_some_and(|e| e.code == "53300") => return Err(Outcome::Full),
+                // What stands behind the greeting already would be taken for the first answer.
+                b'Z' if body == b"I" && buffer.is_empty() => break,
+                b'E' if error(body).is_some_and(|e| matches!(e.code, "53300" | "57P03")) => {
+                    return Err(Outcome::Full);
+                }
                 b'R' | b'S' | b'K' | b'N' => {}
                 _ => return Err(Outcome::ConnectFailed),
             }
@@ -91,6 +96,10 @@
                 None
             }
         };
+        // An error that comes as the instance ends the connection would be taken for this work's answer.
+        if !idle_and_open(&self.socket) {
+            return Err(Unsent::Broken);
+        }
         if !stop.begin() {
             return Err(Unsent::Stopped);
         }
