Name lone list entries by reference in the hand-over tests, as clippy wants

Cause: clippy -D warnings (cloned_ref_to_slice_refs) in routing/tests/handover.rs. Ruled out: an allow. Change: two calls. Measured: clippy over routing, decision, mysql-wire, postgres and discovery with all targets passes.

--- a/routing/tests/handover.rs
+++ b/routing/tests/handover.rs
@@ -484,7 +484,7 @@
     for news in 0..3 {
         let mut core = Core::start(|l| l.mailbox = 16);
         let (a, c, d) = (draining(entry("a", 1, 0)), entry("c", 3, 1), entry("d", 4, 2));
-        core.list(&[c.clone()]);
+        core.list(std::slice::from_ref(&c));
         assert_eq!(core.submit(1, SAFE).served(), addr(3));
         // Its connection has rested, and it waits for whether that stands.
         core.script.hold(addr(3), At::Begin);
@@ -527,7 +527,7 @@
 fn news_overtakes_work_that_waits_in_the_mailbox() {
     let mut core = Core::start(|_| ());
     let d = entry("d", 4, 2);
-    held_actor(&mut core, &[d.clone()]);
+    held_actor(&mut core, std::slice::from_ref(&d));
     let asked = core.submit(2, SAFE);
     core.barrier();
     let a = draining(entry("a", 1, 0));
