Force the order in which an attempt lies before news in the peers' mailbox

Cause: news_overtakes_work_that_waits_in_the_mailbox passed on the old code where the peers' actor was quicker than the link's thread. Ruled out: leaving it to chance. Change: the actor is held over a close between the attempt and the news; the test asks no less than before.

--- a/routing/tests/handover.rs
+++ b/routing/tests/handover.rs
@@ -526,14 +526,21 @@
 #[test]
 fn news_overtakes_work_that_waits_in_the_mailbox() {
     let mut core = Core::start(|_| ());
-    let d = entry("d", 4, 2);
-    held_actor(&mut core, std::slice::from_ref(&d));
+    let (b, d) = (entry("b", 2, 1), entry("d", 4, 2));
+    held_actor(&mut core, &[b.clone(), d.clone()]);
     let asked = core.submit(2, SAFE);
     core.barrier();
-    let a = draining(entry("a", 1, 0));
-    core.list(&[a.clone(), draining(d)]);
+    // The actor will be held again behind the attempt, before it could take in what is said of that instance.
+    core.script.hold(addr(2), At::Close);
+    let (a, b) = (draining(entry("a", 1, 0)), draining(b));
+    core.list(&[a.clone(), b.clone(), d.clone()]);
+    core.list(&[a.clone(), b.clone(), draining(d)]);
     core.script.release(addr(1), At::Close);
-    core.list(&[a, entry("e", 6, 2)]);
+    core.script.until(addr(2), |i| i.waits(At::Close) == 1);
+    let answer = asked.given.recv_timeout(Duration::from_millis(200));
+    assert!(answer.is_err(), "something new to what drains: {answer:?}");
+    core.script.release(addr(2), At::Close);
+    core.list(&[a, b, entry("e", 6, 2)]);
     assert_eq!(asked.served(), addr(6));
     assert_eq!(core.script.written(addr(4)), 1);
 }
