Wait for a MySQL server's greeting and probe as a whole, not byte by byte

Cause: mysql/src/link.rs bounded each read, not the work: login() by limits.connect, a probe by limits.probe. A server that brings a byte now and then held the link's thread, its place in the bounds and, for a probe, the member's next probes (and mysql/src/watch.rs, the clocks' thread) for as long as it liked; attempts were closed by the module at their time. Ruled out: a timer that shuts such sockets (the reader knows its moment); write_gathered (bounded by the module's Stop). Change: reads go through Until with one moment for the whole of a login (the connect included) and of a piece of work.

--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -5,7 +5,7 @@
 use crate::errors::{self, Meaning};
 use crate::packet::{Broken, Fields, Packet, Reader, push, write_command, write_ready};
 use crate::results::{State, text_row};
-use routing::wire::{Link, Reply, Stop, Unsent, Wire, Work, connect, idle_and_open};
+use routing::wire::{Link, Reply, Stop, Unsent, Until, Wire, Work, connect, idle_and_open};
 use routing::{Clock, Outcome, Report, Time};
 use sessions::clocks::{Clocks, Offset};
 use settings::Limits;
@@ -75,6 +75,8 @@
 pub struct MysqlLink {
     socket: Arc<TcpStream>,
     reader: Reader,
+    /// The work at hand is waited for up to this moment, however slowly its answer trickles.
+    until: Instant,
     settings: Arc<Settings>,
     limits: Arc<Limits>,
     clock: Clock,
@@ -111,9 +113,10 @@
     type Link = MysqlLink;
 
     fn open(&self, addr: SocketAddr) -> Result<MysqlLink, Outcome> {
+        let until = Instant::now() + self.limits.connect;
         let socket = connect(addr, &self.limits).map_err(|_| Outcome::ConnectFailed)?;
         let mut reader = Reader::new(self.limits.answer_bytes);
-        login(&socket, &mut reader, &self.credentials).map_err(|e| match errors::meaning(e.0) {
+        login(&socket, &mut reader, &self.credentials, until).map_err(|e| match errors::meaning(e.0) {
             Meaning::Outcome(Outcome::Full) => Outcome::Full,
             _ => {
                 tracing::warn!("server {addr}: no login: {}", e.1);
@@ -123,19 +126,24 @@
         let (settings, limits) = (self.settings.clone(), self.limits.clone());
         let (socket, prepared) = (Arc::new(socket), VecDeque::new());
         let clocks = self.clocks.clone();
-        Ok(MysqlLink { socket, reader, settings, limits, clock: self.clock, clocks, addr, prepared })
+        Ok(MysqlLink { socket, reader, until, settings, limits, clock: self.clock, clocks, addr, prepared })
     }
 }
 
-/// Logs in; an error is a server's code, or 0, and a text.
+/// Logs in up to a moment; an error is a server's code, or 0, and a text.
+///
+/// # Errors
+/// Where the server does not let it in, or not in time.
 pub fn login(
     socket: &TcpStream,
     reader: &mut Reader,
     credentials: &Credentials,
+    until: Instant,
 ) -> Result<(), (u16, String)> {
     let own = |text: &str| (0, text.to_string());
     let next = |reader: &mut Reader| -> Result<Packet, (u16, String)> {
-        let packet = reader.next(socket).map_err(|e| (0, format!("the connection failed: {e:?}")))?;
+        let packet =
+            reader.next(Until(socket, until)).map_err(|e| (0, format!("the connection failed: {e:?}")))?;
         match errors::code(&packet.payload) {
             Some(code) => Err((code, format!("error {code}"))),
             None => Ok(packet),
@@ -200,7 +208,7 @@
             Work::Attempt(_, at) => at.saturating_duration_since(Instant::now()) + self.limits.link_backstop,
             Work::Probe => self.limits.probe,
         };
-        self.socket.set_read_timeout(Some(wait)).map_err(|_| Unsent::Broken)?;
+        self.until = Instant::now() + wait;
         match work {
             Work::Probe => {
                 let (probe, sent) = (self.settings.probe.clone(), self.clock.now());
@@ -243,7 +251,7 @@
     fn prepare(&mut self, text: &Arc<[u8]>) -> Result<Payloads, Cut> {
         let gone = |_| Cut::Broken(Outcome::Reset);
         write_command(&self.socket, &[&[command::STMT_PREPARE], text]).map_err(gone)?;
-        let first = self.reader.next(&*self.socket)?.payload;
+        let first = self.reader.next(Until(&self.socket, self.until))?.payload;
         let mut f = Fields(&first);
         let (Some(0), Some(id), Some(columns), Some(parameters)) =
             (f.number(1), f.number(4), f.number(2), f.number(2))
@@ -258,7 +266,7 @@
         let mut follow = [parameters, columns].iter().map(|n| if *n > 0 { n + 1 } else { 0 }).sum::<u64>();
         let mut answer = vec![first];
         while follow > 0 {
-            answer.push(self.reader.next(&*self.socket)?.payload);
+            answer.push(self.reader.next(Until(&self.socket, self.until))?.payload);
             follow -= 1;
         }
         if self.prepared.len() >= self.limits.statements_per_link
@@ -335,7 +343,7 @@
     fn answer(&mut self) -> Result<Payloads, Cut> {
         let (mut state, mut answer, mut length, mut expected) = (State::Start, Vec::new(), 0, 1);
         loop {
-            let packet = self.reader.next(&*self.socket)?;
+            let packet = self.reader.next(Until(&self.socket, self.until))?;
             // Out of sequence it belongs to something else, or to nothing.
             if packet.first != expected {
                 return Err(Cut::Broken(Outcome::Error));
--- a/pcap/src/replay.rs
+++ b/pcap/src/replay.rs
@@ -10,7 +10,7 @@
 use std::collections::hash_map::Entry;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 
 /// The longest answer that is read.
@@ -96,10 +96,11 @@
         let failed = |e| ReplayError { router, why: Why::Away(e) };
         let socket = TcpStream::connect_timeout(&router, Duration::from_secs(5)).map_err(failed)?;
         socket.set_nodelay(true).map_err(failed)?;
-        socket.set_read_timeout(Some(Duration::from_secs(60))).map_err(failed)?;
         let mut reader = Reader::new(MOST);
-        let login = login(&socket, &mut reader, credentials);
+        let patience = Duration::from_secs(60);
+        let login = login(&socket, &mut reader, credentials, Instant::now() + patience);
         login.map_err(|(_, e)| ReplayError { router, why: Why::Login(e) })?;
+        socket.set_read_timeout(Some(patience)).map_err(failed)?;
         Ok(Connection { socket, reader, prepared: HashMap::new() })
     }
 
