Give each connection a cancel key of its own, and honour a CancelRequest that names it

Cause: greet() in postgres/src/front.rs dropped every CancelRequest, and greeting() told eight zeros as the key, so that no client could cancel. Ruled out: taking a cancel for a leaving (the client waits for its one answer, and the connection goes on); keys counted up or drawn from the seed of the decisions (to be guessed); an answer to the cancelling connection (it would tell whether a key is right). Change: eight random bytes from the system for each connection, unique among the open ones, told in BackendKeyData and forgotten with the connection. A CancelRequest of the right length whose key is known cancels the oldest request of that connection without an answer, as in PostgreSQL; with nothing open, or crossing with the answer, it does nothing. Its own connection is closed without a word, whatever it named: a flood of wrong keys costs only its own connections, which stand under the bound of those that have not asked. A process knows its own keys alone: where several serve as one router, a cancel that reaches another does nothing.

--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -3,13 +3,15 @@
 //! writes them in the order of the commands.
 use crate::link::Postgres;
 use crate::message::{
-    Buffer, Frame, Pool, READY, Room, invalid, push, push_error, push_parameter, write_gathered,
+    Buffer, CancelKey, Frame, Pool, READY, Room, Startup, invalid, push, push_error, push_parameter,
+    write_gathered,
 };
 use crate::statement::Statement;
 use clients::{Connection, Standing, Talk, timed_out};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
 use routing::{Final, GroupId, Handle, Incoming, Outcome, RequestId, SessionId, Settings, Time, spawn};
 use settings::Limits;
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
@@ -26,6 +28,8 @@
     /// Ids of open requests. An id stands for one request: another one that names it must get neither its answer
     /// nor its end.
     ids: Mutex<HashSet<Vec<u8>>>,
+    /// Open connections by the keys that they were told.
+    keys: Mutex<HashMap<CancelKey, Arc<Connection>>>,
     /// What clients' long messages and open requests may still take.
     pool: Pool,
     /// What of it is another process's of this router.
@@ -59,6 +63,18 @@
     }
 }
 
+/// The key that a connection was told; it means nothing any more when this is dropped.
+struct Keyed<'a> {
+    front: &'a Front,
+    key: CancelKey,
+}
+
+impl Drop for Keyed<'_> {
+    fn drop(&mut self) {
+        self.front.keys().remove(&self.key);
+    }
+}
+
 /// What the writer owes next.
 enum Owed {
     Ready(Vec<u8>),
@@ -93,11 +109,11 @@
     fn talk(self: &Arc<Self>, connection: &Arc<Connection>) {
         let socket = &connection.socket;
         let mut buffer = Buffer::pooled(self.limits.message_bytes, &self.pool);
-        match self.greet(&mut buffer, connection) {
-            Ok(true) => {}
-            Ok(false) => return,
+        let _key = match self.greet(&mut buffer, connection) {
+            Ok(Some(key)) => key,
+            Ok(None) => return,
             Err(e) => return self.hang_up(socket, &e),
-        }
+        };
         let (mut skip_to_sync, mut writer) = (false, None::<Writer>);
         let end = loop {
             let frame = match buffer.next(connection.command(!buffer.is_empty())) {
@@ -214,9 +230,9 @@
     ) -> Arc<Front> {
         let deadlines = settings.classes.iter().map(|c| c.deadline);
         let places = names.iter().map(|c| c.clone().into_bytes()).zip(deadlines.enumerate());
-        let (classes, ids) = (places.collect(), Mutex::default());
+        let (classes, ids, keys) = (places.collect(), Mutex::default(), Mutex::default());
         let pool = Pool::new(AtomicIsize::new(limits.client_bytes as isize));
-        Arc::new(Front { handle, limits, classes, ids, pool, set_aside: Mutex::default() })
+        Arc::new(Front { handle, limits, classes, ids, keys, pool, set_aside: Mutex::default() })
     }
 
     /// So many processes serve as this router from now on: each takes its part of the memory for clients. What is held
@@ -232,6 +248,30 @@
         self.ids.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    fn keys(&self) -> MutexGuard<'_, HashMap<CancelKey, Arc<Connection>>> {
+        self.keys.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// A key of a connection's own, which nobody else can guess.
+    fn key(&self, connection: &Arc<Connection>) -> io::Result<Keyed<'_>> {
+        loop {
+            let mut key = CancelKey::default();
+            getrandom::fill(&mut key)?;
+            if let Entry::Vacant(free) = self.keys().entry(key) {
+                free.insert(connection.clone());
+                return Ok(Keyed { front: self, key });
+            }
+        }
+    }
+
+    /// Cancels what the connection of this key waits for now, if there is one and if it waits.
+    fn cancel(&self, key: &CancelKey) {
+        let connection = self.keys().get(key).cloned();
+        if let Some(id) = connection.and_then(|c| c.requests.oldest()) {
+            self.handle.cancel(id);
+        }
+    }
+
     fn hang_up(&self, socket: &TcpStream, error: &io::Error) {
         if error.kind() == io::ErrorKind::InvalidData {
             let mut text = Vec::new();
@@ -240,21 +280,27 @@
         }
     }
 
-    /// Reads the startup message and greets; `false` where the client wanted something else.
-    fn greet(&self, buffer: &mut Buffer, connection: &Connection) -> io::Result<bool> {
+    /// Reads the startup message and greets; `None` where the client wanted something else.
+    fn greet(&self, buffer: &mut Buffer, connection: &Arc<Connection>) -> io::Result<Option<Keyed<'_>>> {
+        const CANCEL: u32 = 80_877_102;
         const SSL: u32 = 80_877_103;
         const GSS: u32 = 80_877_104;
         let socket = &connection.socket;
         loop {
-            match buffer.startup(connection.startup())?.map(|s| s.code) {
-                Some(SSL | GSS) => write_gathered(socket, &[b"N"])?,
-                Some(code) if code >> 16 == 3 => break,
-                // A CancelRequest needs no answer: a client gives a request up by leaving.
-                _ => return Ok(false),
+            match buffer.startup(connection.startup())? {
+                Some(Startup { code: SSL | GSS, .. }) => write_gathered(socket, &[b"N"])?,
+                Some(Startup { code, .. }) if code >> 16 == 3 => break,
+                // No answer tells whether the key was right.
+                Some(Startup { code: CANCEL, key: Some(key) }) => {
+                    self.cancel(&key);
+                    return Ok(None);
+                }
+                _ => return Ok(None),
             }
         }
-        write_gathered(socket, &[&greeting()])?;
-        Ok(true)
+        let key = self.key(connection)?;
+        write_gathered(socket, &[&greeting(&key.key)])?;
+        Ok(Some(key))
     }
 
     /// What is owed for one message, if anything.
@@ -481,7 +527,7 @@
 }
 
 /// What a connection is greeted with once its startup is read.
-fn greeting() -> Vec<u8> {
+fn greeting(key: &CancelKey) -> Vec<u8> {
     let mut b = Vec::with_capacity(256);
     push(&mut b, b'R', &[&[0, 0, 0, 0]]);
     for (name, value) in [
@@ -494,7 +540,7 @@
     ] {
         push_parameter(&mut b, name, value);
     }
-    push(&mut b, b'K', &[&[0; 8]]);
+    push(&mut b, b'K', &[key]);
     b.extend_from_slice(READY);
     b
 }
--- a/postgres/src/message.rs
+++ b/postgres/src/message.rs
@@ -59,8 +59,13 @@
 pub struct Startup {
     /// The protocol's version, or one of the codes that ask for something else.
     pub code: u32,
+    /// What a CancelRequest names, where that is as long as a key.
+    pub key: Option<CancelKey>,
 }
 
+/// What stands in a BackendKeyData message, the process id and the secret, by which a client cancels.
+pub type CancelKey = [u8; 8];
+
 /// One message in the buffer: its tag, and where the whole of it stands.
 #[derive(Clone, Debug)]
 pub struct Frame {
@@ -147,8 +152,9 @@
             return Ok(None);
         }
         let code = self.length(self.start + 4);
+        let key = self.bytes[self.start + 8..self.start + length].try_into().ok();
         self.start += length;
-        Ok(Some(Startup { code }))
+        Ok(Some(Startup { code, key }))
     }
 
     /// The next message; `None` at the connection's end between two messages.
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -1,4 +1,4 @@
-//! Clients that leave: the real program between a stand-in client, an instance and discovery. What the router
+//! Clients that leave or cancel: the real program between a stand-in client, an instance and discovery. What the router
 //! has noticed is read off its log, line by line; nothing waits by sleeping.
 mod common;
 use common::front::*;
@@ -348,3 +348,119 @@
         }
     }
 }
+
+/// Sends a CancelRequest of this length; returns when the router has closed its connection, which it does without a
+/// word.
+fn cancel_with(addr: SocketAddr, length: u32, body: &[u8]) {
+    let socket = TcpStream::connect(addr).unwrap();
+    socket.set_read_timeout(Some(LONG)).unwrap();
+    let code = 80_877_102_u32.to_be_bytes();
+    (&socket).write_all(&[&length.to_be_bytes()[..], &code, body].concat()).unwrap();
+    let mut rest = Vec::new();
+    _ = (&socket).read_to_end(&mut rest);
+    assert!(rest.is_empty(), "{rest:?}");
+}
+
+fn cancel(addr: SocketAddr, key: CancelKey) {
+    cancel_with(addr, 16, &key);
+}
+
+/// The answer to what was cancelled: a request whose time is up has the same code, but other words.
+fn hears_of_the_cancel(client: &Client) {
+    let (tag, body) = read(&client.0).unwrap();
+    let text = String::from_utf8(body).unwrap();
+    let right = text.contains("C57014\0") && text.contains("Mcanceling statement due to user request\0");
+    assert!(tag == b'E' && right, "{text}");
+    assert_eq!(read(&client.0).unwrap().0, b'Z');
+}
+
+#[test]
+fn keys_differ_and_are_told_to_each_connection() {
+    let site = Site::start(vec![]);
+    let keys: std::collections::HashSet<CancelKey> = (0..40).map(|_| keyed(site.addr).1).collect();
+    assert_eq!(keys.len(), 40);
+    assert!(!keys.contains(&[0; 8]));
+}
+
+#[test]
+fn a_cancelled_request_that_waits_goes_nowhere_and_its_connection_goes_on() {
+    let (instance, _heard, entry) = primary();
+    let mut site = Site::start(vec![]);
+    let (client, key) = keyed(site.addr);
+    client.write(&insert("w1", 7900));
+    site.came(0);
+    cancel(site.addr, key);
+    hears_of_the_cancel(&client);
+    site.list(&[entry]);
+    // One answer only, and the id is free.
+    assert_eq!(client.ask(&insert("w1", 7900)), served("primary"));
+    assert!(!site.sent(0));
+    assert_eq!(instance.ran("w1"), 1);
+}
+
+#[test]
+fn a_cancelled_request_that_still_dials_writes_nothing() {
+    ends_while_it_dials(|site, client, key| {
+        cancel(site.addr, key);
+        hears_of_the_cancel(&client);
+    });
+}
+
+#[test]
+fn a_cancelled_request_that_was_sent_has_its_one_answer_at_once() {
+    let (instance, heard, entry) = primary();
+    let site = Site::start(vec![entry]);
+    let (client, key) = keyed(site.addr);
+    client.until(&insert("warm", 7900), "primary");
+    while heard.try_recv().is_ok() {}
+    instance.act(Act::Silent);
+    client.write(&insert("w1", 7900));
+    assert!(heard.recv_timeout(LONG).unwrap().contains("id=w1,"));
+    cancel(site.addr, key);
+    hears_of_the_cancel(&client);
+    instance.act(Act::Serve);
+    client.until(&insert("w2", 7900), "primary");
+    assert_eq!(instance.ran("w1"), 1);
+}
+
+#[test]
+fn of_commands_ahead_the_oldest_is_cancelled() {
+    let (instance, _heard, entry) = primary();
+    let mut site = Site::start(vec![]);
+    let (client, key) = keyed(site.addr);
+    (&client.0).write_all(&[query(&insert("w1", 7900)), query(&insert("w2", 7900))].concat()).unwrap();
+    site.came(0);
+    site.came(1);
+    cancel(site.addr, key);
+    hears_of_the_cancel(&client);
+    site.list(&[entry]);
+    assert_eq!(client.answer(), served("primary"));
+    assert_eq!([instance.ran("w1"), instance.ran("w2")], [0, 1]);
+}
+
+#[test]
+fn a_cancel_without_a_match_or_after_the_answer_changes_nothing() {
+    let (instance, _heard, entry) = primary();
+    let mut site = Site::start(vec![]);
+    let (client, key) = keyed(site.addr);
+    let (gone, of_another) = keyed(site.addr);
+    drop(gone);
+    site.left(0);
+    client.write(&insert("w1", 7900));
+    site.came(0);
+    let mut wrong = key;
+    wrong[7] ^= 1;
+    cancel(site.addr, wrong);
+    cancel(site.addr, of_another);
+    cancel(site.addr, [0; 8]);
+    // Keys of other lengths, and none.
+    cancel_with(site.addr, 12, &key[..4]);
+    cancel_with(site.addr, 8, &[]);
+    cancel_with(site.addr, 20, &[&key[..], &[0; 4]].concat());
+    site.list(&[entry]);
+    assert_eq!(client.answer(), served("primary"));
+    // It has its answer: nothing is open, and what comes next is not cancelled.
+    cancel(site.addr, key);
+    assert_eq!(client.ask(&insert("w2", 7900)), served("primary"));
+    assert_eq!([instance.ran("w1"), instance.ran("w2")], [1, 1]);
+}
