Test that MySQL's front notices a leaving behind a full row of commands, and what half a command leaves

Need: the reader of mysql/src/front.rs waits for room among 64 commands and reads no further, so it saw no end behind them; and one whose time was up within a command was taken for a client that has left, whose order under way then lost its answer (1105 instead of its own). Ruled out: a larger row (the end can always lie behind one more command). With the watch taken back a_client_that_leaves_behind_more_commands_... fails, with the half command taken for a leaving again what_stands_before_half_a_command_is_answered fails (1105, 3024 wanted).

--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -506,6 +506,34 @@
     }
 }
 
+#[test]
+fn what_stands_before_half_a_command_is_answered() {
+    // One that stops within a command has not left: what it asked whole is owed its answer.
+    let site = Site::start();
+    let raw = Raw::connect(site.addr);
+    site.primary.0.act(Act::Silent);
+    let half = &packets(0, &[b"\x03SELECT"])[..6];
+    (&raw.0).write_all(&[&packets(0, &[&[&[3][..], ORDER.as_bytes()].concat()]), half].concat()).unwrap();
+    // It outlasts the time for a command to come whole, and is given up at its own.
+    let (_, answer) = read(&raw.0).unwrap();
+    assert_eq!((answer[0], u16::from_le_bytes([answer[1], answer[2]])), (0xff, 3024), "{answer:?}");
+    assert!(read(&raw.0).is_err(), "then the connection ends");
+}
+
+#[test]
+fn a_client_that_leaves_behind_more_commands_than_are_read_ahead_is_noticed() {
+    let mut site = Site::with(|_| "[log]\nlevel = 'debug'\n".to_string());
+    let raw = Raw::connect(site.addr);
+    site.primary.0.act(Act::Silent);
+    let pings: Vec<u8> = (0..200).flat_map(|_| packets(0, &[&[14]])).collect();
+    let order = packets(0, &[&[&[3][..], ORDER.as_bytes()].concat()]);
+    (&raw.0).write_all(&[order, pings].concat()).unwrap();
+    site.primary.1.recv_timeout(LONG).unwrap();
+    // Its reader waits for room among the commands and reads no further.
+    drop(raw);
+    site.router.logged(" has left 1 requests");
+}
+
 #[test]
 fn the_rest_of_the_statement_commands_is_spoken() {
     let site = Site::start();
