Let clients fall quiet for 50 ms at least behind the grace, whatever the longest deadline

Cause: with a longest deadline of 3 s the moment at which nothing more is read (shutdown_last) fell on the end of the grace, 0.6 s after SIGTERM. There was no time in which connections end as they fall quiet: each one was ended then and there, also over a request that lay in its socket and counts as taken. Found by reading settings/src/limits.rs. Ruled out: a shorter grace (new connections come for up to 0.4 s on a busy machine); reading on beyond the moment (what is read then has no whole deadline before the end). Change: shutdown_most is 50 ms later (SIGKILL comes no earlier than 50 ms after it), and shutdown_last at least 50 ms behind the grace. Measured: settings/tests/limits.rs plays longest deadlines of 0 to 10 s; with the 50 ms taken back it fails at 3 s.

--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -126,6 +126,8 @@
     pub client_greeted: Duration,
     /// How long an ended connection over unread bytes is kept from a reset that could take its last answer along.
     pub client_linger: Duration,
+    /// How much that still comes is read meanwhile, to nobody.
+    pub client_linger_bytes: usize,
     /// Operators that may call at a time.
     pub door_callers: usize,
     /// Their longest line.
@@ -158,6 +160,9 @@
 
 /// After SIGTERM, the front learns for this long that the router is going.
 const GRACE: Duration = Duration::from_millis(600);
+/// Behind it, connections are let go as they fall quiet for this long at least, before any is ended over what its client
+/// may have asked.
+const QUIET: Duration = Duration::from_millis(50);
 
 impl Limits {
     /// The bounds for a process that may hold `sockets` descriptors and `memory` bytes and whose instances close a connection
@@ -171,7 +176,7 @@
     ) -> Self {
         // Standard streams, the listener, the watch, the signal pipe and some slack are not ours to hand out.
         let free = sockets.saturating_sub(40).max(16);
-        let most = longest_deadline.max(Duration::from_secs(3)) + GRACE;
+        let most = longest_deadline.max(Duration::from_secs(3)) + GRACE + QUIET;
         Limits {
             stack_bytes: 96 * 1024,
             // A value of 64 KiB stands in a statement as hexadecimal digits.
@@ -228,13 +233,14 @@
             link_backstop: Duration::from_millis(500),
             module_stack_bytes: 512 * 1024,
             shutdown_grace: GRACE,
-            shutdown_last: (GRACE + Duration::from_millis(250))
-                .min(most - longest_deadline.min(most - GRACE)),
+            // What is read last has its whole time before the end.
+            shutdown_last: (GRACE + Duration::from_millis(250)).min(most - longest_deadline),
             shutdown_most: most,
             drain_quiet: Duration::from_millis(500),
             drain_last: Duration::from_millis(1500),
             client_greeted: Duration::from_millis(300),
             client_linger: Duration::from_millis(300),
+            client_linger_bytes: 1 << 20,
             door_callers: 32,
             door_line_bytes: 1024,
             door_patience: Duration::from_secs(10),
--- /dev/null
+++ b/settings/tests/limits.rs
@@ -0,0 +1,19 @@
+//! Bounds that have to go together.
+use settings::Limits;
+use std::time::Duration;
+
+#[test]
+fn whatever_is_read_last_has_its_whole_time_before_the_end_and_clients_fall_quiet_before_they_are_cut() {
+    for ms in (0..=10_000).step_by(50) {
+        let longest = Duration::from_millis(ms);
+        let l = Limits::new(256, 64 << 20, longest, longest, longest);
+        assert!(l.shutdown_last + longest <= l.shutdown_most, "{ms}");
+        // New connections come for 0.4 s at most after SIGTERM.
+        assert!(l.shutdown_grace >= Duration::from_millis(400), "{ms}");
+        // A connection is looked at every 5 ms: each one that falls quiet is ended before any that does not.
+        assert!(l.shutdown_last >= l.shutdown_grace + Duration::from_millis(50), "{ms}");
+        // SIGKILL comes no earlier than this.
+        let killed = longest.max(Duration::from_secs(3)) + Duration::from_millis(700);
+        assert!(l.shutdown_most + Duration::from_millis(50) <= killed, "{ms}");
+    }
+}
