--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -142,7 +142,8 @@
     let leaves = desk.clone();
     let end = move || {
         leaves.iter().for_each(|desk| desk.leaving());
-        _ = to.try_send(Order::End);
+        // Operators' orders may fill the queue while the program still starts: the end must not be lost with them.
+        _ = to.send(Order::End);
     };
     signals::obey(signals, limits.module_stack_bytes, reload, end)?;
     if let Some(desk) = desk {
