End clients' connections without taking a request too late or an answer along

Ruled out: waking readers by short read timeouts or a pipe each (processor time, descriptors); shutting both ways and draining (the reset comes from the shut reading side, not from the close). Change: the count and its mark are a type without sockets, clients/src/in_flight.rs; every end sets the mark first. Rest that is over and room that is wanted still free the place at once, where nothing is unread; lingering ones are the first to give way. At the last step one with nothing owed ends at once and any other with its last answer, also over half a command; what is read later is dropped. A reader that waits on for a silent client is cut once lingering is over. The waker's socket is made at the start. MySQL's front ends the same way, so its error texts arrive. The waker and the log have no test that fails without them: that accept holds the last descriptor can't be forced.

--- a/clients/src/lib.rs
+++ b/clients/src/lib.rs
@@ -1,11 +1,13 @@
 //! The connections of clients, whatever wire they speak: accepted, bounded in number, and let go at shutdown
 //! without a request lost.
+pub mod in_flight;
 pub mod leaving;
 pub mod listening;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
+use in_flight::InFlight;
 use leaving::{Action, Event, Leaving, Step, Times};
-pub use listening::{Listening, PassedError};
+pub use listening::{Listening, PassedError, Waker};
 use routing::spawn;
 use routing::wire::{Until, idle_and_open, peek};
 use settings::Limits;
@@ -23,8 +25,11 @@
     fn talk(self: &Arc<Self>, connection: &Arc<Connection>);
 }
 
-/// Set in [`Connection::owed`] once the connection takes no more commands.
-const RETIRED: usize = 1 << (usize::BITS - 1);
+/// The least time that a read waits for a client: one whose time is up may lie in the socket whole.
+const LOOK: Duration = Duration::from_millis(1);
+
+/// In [`Connection::ended_ms`]: it has not been ended.
+const NOT_ENDED: u64 = u64::MAX;
 
 /// A client's connection.
 pub struct Connection {
@@ -34,9 +39,8 @@
     pub number: u64,
     since: Instant,
     limits: Arc<Limits>,
-    /// Commands read and not answered yet. A count and a mark in one word: a command is either taken before the
-    /// connection is retired, or never, so that none is carried out whose client is told to ask elsewhere.
-    owed: AtomicUsize,
+    /// Commands read and not answered yet, and whether more are taken.
+    in_flight: InFlight,
     /// A command has been read.
     asked: AtomicBool,
     /// A request has been made on it, not only what is answered without one.
@@ -47,6 +51,12 @@
     quiet_ms: AtomicU64,
     /// Part of a command has been read.
     begun: AtomicBool,
+    /// The reader waits at the socket: what it holds is less than a command.
+    reading: AtomicBool,
+    /// When its sending was ended, in milliseconds since it was opened.
+    ended_ms: AtomicU64,
+    /// It is not to be kept from a reset any longer.
+    cut: AtomicBool,
     manners: Arc<Manners>,
 }
 
@@ -69,23 +79,20 @@
 
 impl Connection {
     /// A command has been read: the connection stays open until it is paid; `more` tells whether part of the next one
-    /// was read with it. `false` where it is retired already; then the command must not be carried out, its client
+    /// was read with it. `false` where it is closed already; then the command must not be carried out, its client
     /// sends it elsewhere.
     #[must_use]
     pub fn owe(&self, more: bool) -> bool {
         self.asked.store(true, Ordering::SeqCst);
         self.begun.store(more, Ordering::SeqCst);
-        let more = |n: usize| (n & RETIRED == 0).then_some(n + 1);
-        self.owed.fetch_update(Ordering::SeqCst, Ordering::SeqCst, more).is_ok()
+        self.in_flight.begin()
     }
 
     /// Asked right before an answer is written: while clients are let go, an answer that leaves nothing owed is its
     /// connection's last. Its last bytes are held back then until [`Connection::paid`] ends the connection and go out
     /// with that end, so that no client that has the whole answer takes the connection for one it may use.
     pub fn part_with(&self) {
-        let ends = self.manners.step() > Step::Open && !self.begun.load(Ordering::SeqCst) && self.silent();
-        let last = RETIRED | 1;
-        if ends && self.owed.compare_exchange(1, last, Ordering::SeqCst, Ordering::SeqCst).is_ok() {
+        if self.may_end() && self.in_flight.close_if_last() {
             // Where that can't be, the end follows right behind.
             _ = SockRef::from(&self.socket).set_tcp_cork(true);
         }
@@ -94,15 +101,25 @@
     /// A command is answered or needs no answer. When clients are let go, this lets the connection go.
     pub fn paid(&self) {
         self.quiet_ms.store(self.since.elapsed().as_millis() as u64, Ordering::Relaxed);
-        if self.owed.fetch_sub(1, Ordering::SeqCst) == RETIRED | 1 {
-            return self.close();
+        if self.in_flight.finish() {
+            return self.finish();
         }
-        // What has been read is carried out.
-        if self.manners.step() > Step::Open && !self.begun.load(Ordering::SeqCst) && self.silent() {
+        if self.may_end() {
             self.retire();
         }
     }
 
+    /// Whether a connection that owes nothing ends now.
+    fn may_end(&self) -> bool {
+        match self.manners.step() {
+            Step::Open => false,
+            // What has been read, or waits to be, is carried out; the second half of a command may be on its way.
+            Step::Quiet => !self.begun.load(Ordering::SeqCst) && self.silent(),
+            // What has been read whole is carried out. A reader that waits holds no whole command, whatever it holds.
+            Step::Last => self.reading.load(Ordering::SeqCst) || !self.begun.load(Ordering::SeqCst),
+        }
+    }
+
     /// Operators drain the router: whoever asks whether it takes clients gets a no.
     pub fn drained(&self) -> bool {
         self.manners.drained.load(Ordering::SeqCst)
@@ -114,38 +131,68 @@
         self.manners.step() == Step::Last && self.asked.load(Ordering::SeqCst)
     }
 
-    /// Lets the connection go while clients are: it falls quiet, or nothing more is read of it.
+    /// Nothing more of what comes is taken here.
+    fn over(&self) -> bool {
+        self.in_flight.is_closed() || self.let_go()
+    }
+
+    /// Lets the connection go while clients are: it falls quiet, or nothing more is read of it. One that owes something
+    /// then ends with the last answer, in [`Connection::paid`]. Its reader must not be woken by an end of the reading:
+    /// that looks like a client's leaving.
     fn part(&self) {
+        if self.in_flight.is_closed() {
+            let waited = self.ended_at().is_some_and(|at| at.elapsed() >= self.limits.client_linger);
+            if waited && self.in_flight.count() == 0 {
+                // Its reader still waits for a client that does not end it.
+                self.cut();
+            }
+            return;
+        }
         // A newcomer's first command is on its way.
         let fresh = !self.asked.load(Ordering::SeqCst) && self.since.elapsed() < self.limits.client_greeted;
-        match self.manners.step() {
-            Step::Open => {}
-            _ if fresh => {}
-            Step::Quiet => {
-                // Its second half may be on its way.
-                if !self.begun.load(Ordering::SeqCst) && self.silent() {
-                    self.retire();
-                }
-            }
-            // Its reader wakes, carries out what has been read whole, and finds that it is to read no more.
-            Step::Last => {
-                if self.begun.load(Ordering::SeqCst) || !self.retire() {
-                    _ = self.socket.shutdown(Shutdown::Read);
-                }
-            }
+        if !fresh && self.may_end() {
+            self.retire();
         }
     }
 
-    /// Ends the sending of a connection whose client may not have stopped asking, and waits a little for the client to
-    /// end it: closed over unread bytes, it would be reset, and a reset may take the last answer with it.
-    fn linger(&self) {
-        if self.manners.step() == Step::Open {
-            return;
-        }
+    /// Ends the sending, behind all that was written; no command is taken from here on. Reading goes on: once both ways
+    /// are shut, whatever still comes is answered with a reset, and a reset may take the last answer with it.
+    pub fn finish(&self) {
+        self.in_flight.close();
+        let now = self.since.elapsed().as_millis() as u64;
+        _ = self.ended_ms.compare_exchange(NOT_ENDED, now, Ordering::SeqCst, Ordering::SeqCst);
+        // An error means that it is closed already.
         _ = self.socket.shutdown(Shutdown::Write);
-        let until = Instant::now() + self.limits.client_linger;
-        while Instant::now() < until && peek(&self.socket).is_ok_and(|n| n > 0) {
-            std::thread::sleep(Duration::from_millis(10));
+    }
+
+    /// When the sending was ended.
+    fn ended_at(&self) -> Option<Instant> {
+        let ms = self.ended_ms.load(Ordering::SeqCst);
+        (ms != NOT_ENDED).then(|| self.since + Duration::from_millis(ms))
+    }
+
+    /// Ends the connection both ways and frees its place at once.
+    fn cut(&self) {
+        self.finish();
+        if !self.cut.swap(true, Ordering::SeqCst) {
+            _ = self.socket.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Ends the sending and reads on, to nobody, until the client ends it too, for a time and a number of bytes: closed
+    /// over unread bytes the connection would be reset, and a reset may take the last answer with it.
+    fn linger(&self) {
+        self.finish();
+        let ended = self.ended_at().unwrap_or_else(Instant::now);
+        let until = (ended + self.limits.client_linger).max(Instant::now() + LOOK);
+        let (mut left, mut nobody) = (self.limits.client_linger_bytes, [0; 8192]);
+        while left > 0 && !self.cut.load(Ordering::SeqCst) {
+            match Until(&self.socket, until).read(&mut nobody) {
+                Ok(0) => return,
+                Ok(n) => left = left.saturating_sub(n),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return,
+            }
         }
     }
 
@@ -170,37 +217,53 @@
         self.faulty.store(yes, Ordering::Relaxed);
     }
 
-    /// Ends the connection for both threads that stand on it.
+    /// Ends the connection for both threads that stand on it: a reader that waits for its client waits no longer.
     pub fn close(&self) {
-        // An error means that it is closed already.
-        _ = self.socket.shutdown(Shutdown::Both);
+        // The mark comes first: a reader that is not seen to wait sees the mark before it does.
+        self.finish();
+        if self.reading.load(Ordering::SeqCst) {
+            self.cut();
+        }
     }
 
     /// Ends the connection if nothing is owed on it.
-    pub fn retire(&self) -> bool {
-        let retired = self.owed.compare_exchange(0, RETIRED, Ordering::SeqCst, Ordering::SeqCst).is_ok();
+    fn retire(&self) -> bool {
+        let retired = self.in_flight.close_if_idle();
         if retired {
-            self.close();
+            self.finish();
         }
         retired
     }
 
+    /// Frees the connection's place if nothing is owed on it and nothing has come: what it was told last is long there.
+    fn release(&self) -> bool {
+        let released = self.silent() && self.in_flight.close_if_idle();
+        if released {
+            self.cut();
+        }
+        released
+    }
+
     /// Since when nothing has been owed.
     fn quiet_since(&self) -> Instant {
         self.since + Duration::from_millis(self.quiet_ms.load(Ordering::Relaxed))
     }
 
-    /// Ends the connection if nothing has been asked on it for as long as it may rest.
+    /// Ends the connection if nothing has been asked on it for as long as it may rest. A request that has come by now,
+    /// later than this thread ran, is still read.
     pub fn retire_if_spent(&self) -> bool {
         let most = match self.asked.load(Ordering::Relaxed) {
             true => self.rest(),
             false => self.limits.client_first.saturating_sub(self.quiet_since() - self.since),
         };
-        self.quiet_since().elapsed() >= most && self.retire()
+        self.quiet_since().elapsed() >= most && self.release()
     }
 
     /// How long it may rest where room is wanted.
     fn least(&self) -> Duration {
+        if self.in_flight.is_closed() {
+            return Duration::ZERO;
+        }
         // One that has made no request, an empty query at most, has no claim to rest like one that will ask again:
         // a few hundred a second of these would keep everybody else out.
         match (self.requested.load(Ordering::Relaxed), self.faulty.load(Ordering::Relaxed)) {
@@ -242,11 +305,12 @@
             (true, _) => now + whole,
             (false, false) => self.since + self.limits.client_first,
             // The rest counts from the last answer, which may be given while this waits.
-            (false, true) if self.owed.load(Ordering::SeqCst) == 0 => self.quiet_since() + self.rest(),
+            (false, true) if self.in_flight.count() == 0 => self.quiet_since() + self.rest(),
             (false, true) => now + self.rest(),
         };
         self.begun.store(begun, Ordering::SeqCst);
-        Timed { of: self, until, begun, whole }
+        // Its time may be up before it was ever looked at.
+        Timed { of: self, until: until.max(now + LOOK), begun, whole }
     }
 }
 
@@ -272,15 +336,23 @@
 
 impl Read for Timed<'_> {
     fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
-        if self.of.let_go() {
-            return Ok(0);
-        }
-        let got = Until(&self.of.socket, self.until).read(to)?;
-        if !std::mem::replace(&mut self.begun, true) {
-            self.until = Instant::now() + self.whole;
+        // First said, then looked: whoever ends the connection looks the other way round.
+        self.of.reading.store(true, Ordering::SeqCst);
+        let got = match self.of.over() {
+            true => Ok(0),
+            false => Until(&self.of.socket, self.until).read(to),
+        };
+        // It may have been ended while this waited: what came then is not for this process, nor what came before it of
+        // the same command, and nobody is told that the rest is missing.
+        let got = if self.of.over() { Ok(0) } else { got };
+        if let Ok(n) = got {
+            self.of.begun.store(n > 0, Ordering::SeqCst);
+            if !std::mem::replace(&mut self.begun, true) {
+                self.until = Instant::now() + self.whole;
+            }
         }
-        self.of.begun.store(got > 0, Ordering::SeqCst);
-        Ok(got)
+        self.of.reading.store(false, Ordering::SeqCst);
+        got
     }
 }
 
@@ -351,6 +423,8 @@
     /// [`Limits::shutdown_most`]. Where nobody gives orders any more it goes on for good.
     pub fn serve(self: &Arc<Self>, listening: Listening, orders: &Receiver<Order>) -> io::Result<()> {
         let (clients, own) = (self.clone(), listening.try_clone()?);
+        // Held ready: at the end there may be no descriptor left for it.
+        let waker = listening.waker()?;
         let (done, ended) = bounded::<()>(0);
         self.accepting.store(true, Ordering::Release);
         spawn("accept", self.limits.stack_bytes, move || {
@@ -412,7 +486,7 @@
                     Action::Treat(step) => self.manners.step.store(step as u8, Ordering::SeqCst),
                     Action::StopAccepting => {
                         if let Some((listening, ended)) = listening.take() {
-                            self.stop_accepting(listening, &ended, successor);
+                            self.stop_accepting(listening, &waker, &ended, successor);
                         }
                     }
                     Action::Ended => {
@@ -424,9 +498,15 @@
         }
     }
 
-    fn stop_accepting(self: &Arc<Self>, listening: Listening, ended: &Receiver<()>, successor: bool) {
+    fn stop_accepting(
+        self: &Arc<Self>,
+        listening: Listening,
+        waker: &Waker,
+        ended: &Receiver<()>,
+        successor: bool,
+    ) {
         self.accepting.store(false, Ordering::Release);
-        listening.wake();
+        waker.wake();
         _ = ended.recv_timeout(Duration::from_secs(1));
         // What the kernel has accepted already is ours, unless another process takes it from the same queue.
         if !successor {
@@ -435,6 +515,7 @@
     }
 
     fn accept(self: &Arc<Self>, listening: &Listening) {
+        let mut said: Option<Instant> = None;
         while self.accepting.load(Ordering::Acquire) {
             match listening.accept() {
                 Ok(Some((socket, from))) => {
@@ -444,9 +525,15 @@
                 Ok(None) => {}
                 // Out of descriptors, or a client that left at once.
                 Err(e) => {
-                    if e.kind() != io::ErrorKind::WouldBlock {
+                    // As often as it is tried, it would fill the log.
+                    let again = said.is_none_or(|at| at.elapsed() >= Duration::from_secs(1));
+                    if e.kind() != io::ErrorKind::WouldBlock && again {
+                        said = Some(Instant::now());
                         tracing::warn!("clients: cannot accept: {e}");
                     }
+                    if matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE)) {
+                        self.release_some(&self.open());
+                    }
                     std::thread::sleep(Duration::from_millis(10));
                 }
             }
@@ -463,25 +550,36 @@
                 if all.len() < self.most.load(Ordering::Relaxed) {
                     return;
                 }
-                // First who sent what can't be read, then who made no request yet, then who asked
-                // nothing for the longest time. Silence is looked up at the socket: under load, a reader may
-                // lag behind what has come.
-                let now = Instant::now();
-                let mut found: Vec<_> = all
-                    .values()
-                    .filter(|c| c.owed.load(Ordering::SeqCst) == 0)
-                    .map(|c| (c.least(), c.quiet_since(), c))
-                    .filter(|(least, since, _)| now.saturating_duration_since(*since) >= *least)
-                    .collect();
-                found.sort_unstable_by_key(|(least, since, _)| (*least, *since));
-                // Some at a time: looking for one costs as much.
-                let spent = found.into_iter().filter(|(_, _, c)| c.silent() && c.retire());
-                _ = spent.take(8).count();
+                self.release_some(&all);
             }
             std::thread::sleep(self.limits.client_room);
         }
     }
 
+    /// Lets some connections go that have the least claim to their place.
+    fn release_some(&self, all: &HashMap<u64, Arc<Connection>>) {
+        // First who is ended already or sent what can't be read, then who made no request yet, then who asked
+        // nothing for the longest time. Silence is looked up at the socket: under load, a reader may
+        // lag behind what has come.
+        let now = Instant::now();
+        let mut found: Vec<_> = all
+            .values()
+            .filter(|c| c.in_flight.count() == 0 && !c.cut.load(Ordering::SeqCst))
+            .map(|c| (c.least(), c.quiet_since(), c))
+            .filter(|(least, since, _)| now.saturating_duration_since(*since) >= *least)
+            .collect();
+        found.sort_unstable_by_key(|(least, since, _)| (*least, *since));
+        // Some at a time: looking for one costs as much.
+        let spent = found.into_iter().filter(|(_, _, c)| match c.in_flight.is_closed() {
+            true => {
+                c.cut();
+                true
+            }
+            false => c.release(),
+        });
+        _ = spent.take(8).count();
+    }
+
     fn admit(self: &Arc<Self>, socket: TcpStream, from: SocketAddr) {
         let ready = socket.set_nonblocking(false).and_then(|()| socket.set_nodelay(true));
         let ready = ready.and_then(|()| socket.set_write_timeout(Some(self.limits.client_write)));
@@ -495,12 +593,15 @@
             number,
             since: Instant::now(),
             limits: self.limits.clone(),
-            owed: AtomicUsize::new(0),
+            in_flight: InFlight::default(),
             asked: AtomicBool::new(false),
             requested: AtomicBool::new(false),
             faulty: AtomicBool::new(false),
             quiet_ms: AtomicU64::new(0),
             begun: AtomicBool::new(false),
+            reading: AtomicBool::new(false),
+            ended_ms: AtomicU64::new(NOT_ENDED),
+            cut: AtomicBool::new(false),
             manners,
         });
         self.open().insert(number, connection.clone());
@@ -508,7 +609,7 @@
         let talk = move || {
             clients.front.talk(&connection);
             connection.linger();
-            connection.close();
+            connection.cut();
             if connection.requested.load(Ordering::Relaxed) {
                 clients.manners.asking.fetch_sub(1, Ordering::Relaxed);
             }
--- a/clients/src/listening.rs
+++ b/clients/src/listening.rs
@@ -1,9 +1,8 @@
 //! Where clients come in: a listener of this process's own, or one that the platform holds and every process of the
 //! router inherits, so that two may serve side by side.
-use routing::wire::dial;
-use socket2::Socket;
+use socket2::{SockAddr, Socket, Type};
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{FromRawFd, OwnedFd, RawFd};
 use std::time::Duration;
 
@@ -93,11 +92,14 @@
         }
     }
 
-    /// Wakes the thread that waits in [`Listening::accept`].
-    pub fn wake(&self) {
-        if let Listening::Own(l) = self {
-            // It hears of nothing but a connection.
-            _ = l.local_addr().and_then(|a| dial(a, Duration::from_secs(1)));
+    /// What will wake the thread that waits in [`Listening::accept`].
+    pub fn waker(&self) -> io::Result<Waker> {
+        match self {
+            Listening::Own(l) => {
+                let at = SockAddr::from(l.local_addr()?);
+                Ok(Waker(Some((Socket::new(at.domain(), Type::STREAM, None)?, at))))
+            }
+            Listening::Passed(_) => Ok(Waker(None)),
         }
     }
 
@@ -110,3 +112,19 @@
         std::iter::from_fn(move || if own { self.accept().ok().flatten() } else { None })
     }
 }
+
+/// Wakes the thread that waits for connections. It holds its descriptor ready: when clients have taken all, the end must
+/// not wait for one to be free.
+#[derive(Debug)]
+pub struct Waker(Option<(Socket, SockAddr)>);
+
+impl Waker {
+    /// Wakes it, once.
+    pub fn wake(&self) {
+        if let Some((socket, at)) = &self.0 {
+            // It hears of nothing but a connection. Where none gets through, there are others, which wake it as well.
+            _ = socket.connect_timeout(at, Duration::from_millis(100));
+            _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+}
--- a/mysql/src/front.rs
+++ b/mysql/src/front.rs
@@ -236,9 +236,9 @@
             return;
         }
         self.work(&commands);
-        self.connection.close();
-        // The reader ends at the closed socket; what it still hands over is nobody's.
-        while commands.recv().is_ok() {}
+        self.connection.finish();
+        // The reader ends with its client, or where the connection is cut; what it still hands over is nobody's.
+        while commands.recv_timeout(self.front.limits.client_linger).is_ok() {}
     }
 
     fn work(&mut self, commands: &Receiver<Result<Packet, Broken>>) {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -4,7 +4,7 @@
 use common::front::*;
 use common::{Discovery, Folder, LONG, Program, Signal, ports};
 use serde_json::json;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
 use std::sync::mpsc::Receiver;
@@ -58,6 +58,172 @@
     assert!(client.0.take_error().unwrap().is_none(), "no reset");
 }
 
+#[test]
+fn a_request_beside_the_signal_is_answered_whole_and_runs_once() {
+    for before in [true, false] {
+        let site = Site::start();
+        let client = Client::connect(site.addr);
+        if before {
+            client.write(&insert("beside", 1900));
+        }
+        site.router.terminate();
+        if !before {
+            client.write(&insert("beside", 1900));
+        }
+        assert_eq!(next(&client), Some(served("primary")), "{before}");
+        ended_in_order(&client);
+        assert_eq!(site.ran("beside"), 1);
+        drop(client);
+        site.ends();
+    }
+}
+
+#[test]
+fn a_client_that_asks_again_with_every_answer_is_ended_with_an_answer_and_loses_nothing() {
+    let site = Site::start();
+    let client = Client::connect(site.addr);
+    site.router.terminate();
+    let mut asked = 0;
+    loop {
+        client.write(&insert(&format!("loop{asked}"), 1900));
+        let answer = next(&client);
+        if answer.is_none() {
+            break;
+        }
+        assert_eq!(answer, Some(served("primary")));
+        asked += 1;
+        // The end comes with the last answer: whoever has that knows.
+        if client.0.set_nonblocking(true).is_ok() && client.0.peek(&mut [0]).is_ok_and(|n| n == 0) {
+            break;
+        }
+        client.0.set_nonblocking(false).unwrap();
+    }
+    client.0.set_nonblocking(false).unwrap();
+    ended_in_order(&client);
+    assert!(asked > 0);
+    assert!((0..asked).all(|n| site.ran(&format!("loop{n}")) == 1));
+    assert_eq!(site.ran(&format!("loop{asked}")), 0, "one that was not answered has run");
+    drop(client);
+    site.ends();
+}
+
+#[test]
+fn a_client_that_asks_ahead_through_the_end_gets_one_answer_for_everything_that_ran() {
+    let site = Site::start();
+    let client = Client::connect(site.addr);
+    let id = |n: usize| format!("ahead{n}");
+    (0..4).for_each(|n| client.write(&insert(&id(n), 1900)));
+    site.router.terminate();
+    let (mut asked, mut answered) = (4, 0);
+    while let Some(answer) = next(&client) {
+        assert_eq!(answer, served("primary"));
+        answered += 1;
+        // One more comes with every answer: four are under way until the end, it is never quiet.
+        let more = message(b'Q', format!("{}\0", insert(&id(asked), 1900)).as_bytes());
+        _ = (&client.0).write_all(&more);
+        asked += 1;
+    }
+    assert!(client.0.take_error().unwrap().is_none(), "no reset");
+    for n in 0..asked {
+        assert_eq!(site.ran(&id(n)), usize::from(n < answered), "{} of {answered} answers", id(n));
+    }
+    drop(client);
+    site.ends();
+}
+
+#[test]
+fn half_a_command_whose_rest_comes_after_the_end_is_not_run() {
+    let site = Site::start();
+    let client = Client::connect(site.addr);
+    assert_eq!(client.ask(&insert("whole", 1900)), served("primary"));
+    let halved = message(b'Q', format!("{}\0", insert("halved", 1900)).as_bytes());
+    (&client.0).write_all(&halved[..30]).unwrap();
+    site.router.terminate();
+    // Its connection ends over the half of it.
+    ended_in_order(&client);
+    (&client.0).write_all(&halved[30..]).unwrap();
+    ended_in_order(&client);
+    let instance = site.instance.0.clone();
+    drop(client);
+    site.ends();
+    assert_eq!((instance.ran("whole"), instance.ran("halved")), (1, 0));
+}
+
+#[test]
+fn a_client_that_rests_until_it_is_ended_sees_an_end_and_no_reset_whatever_it_sends_into_it() {
+    let site = Site::start();
+    let client = Client::connect(site.addr);
+    assert_eq!(client.ask(&insert("before", 1900)), served("primary"));
+    site.router.terminate();
+    ended_in_order(&client);
+    client.write(&insert("into", 1900));
+    ended_in_order(&client);
+    let instance = site.instance.0.clone();
+    // It never ends its own side: the process does not wait for it.
+    site.ends();
+    assert_eq!(instance.ran("into"), 0);
+}
+
+#[test]
+fn an_answer_that_is_owed_at_the_last_step_comes_whole_before_the_end() {
+    let site = Site::start();
+    let client = Client::connect(site.addr);
+    site.instance.0.act(Act::Silent);
+    client.write(&insert("slow", 1200));
+    site.instance.1.recv_timeout(LONG).unwrap();
+    let idle = Client::connect(site.addr);
+    assert_eq!(idle.ask(""), Answer::Empty);
+    site.router.terminate();
+    // Once those that rest have ended, a half comes behind it.
+    ended_in_order(&idle);
+    (&client.0).write_all(b"Q\0\0\0\x40SELECT").unwrap();
+    assert!(matches!(next(&client), Some(Answer::Error(code, None)) if code == "57014"));
+    ended_in_order(&client);
+    assert_eq!(site.ran("slow"), 1);
+    drop((client, idle));
+    site.ends();
+}
+
+#[test]
+fn what_the_kernel_accepted_while_the_program_stood_still_is_served() {
+    let site = Site::start();
+    site.router.signal(Signal::SIGSTOP);
+    let mut socket = TcpStream::connect(site.addr).unwrap();
+    socket.set_read_timeout(Some(LONG)).unwrap();
+    let body = b"\0\x03\0\0user\0worker\0database\0catalog\0\0";
+    socket.write_all(&[&(body.len() as u32 + 4).to_be_bytes()[..], body].concat()).unwrap();
+    site.router.terminate();
+    site.router.signal(Signal::SIGCONT);
+    while read(&socket).unwrap().0 != b'Z' {}
+    let client = Client(socket);
+    assert_eq!(client.ask(&insert("late", 1900)), served("primary"));
+    ended_in_order(&client);
+    assert_eq!(site.ran("late"), 1);
+    drop(client);
+    site.ends();
+}
+
+#[test]
+fn too_many_commands_ahead_are_answered_and_told_why_the_connection_ends() {
+    let site = Site::start();
+    let client = Client::connect(site.addr);
+    site.instance.0.act(Act::Silent);
+    let ahead: Vec<u8> = (0..300)
+        .flat_map(|n| message(b'Q', format!("{}\0", insert(&format!("m{n}"), 600)).as_bytes()))
+        .collect();
+    (&client.0).write_all(&ahead).unwrap();
+    let mut last = None;
+    let end = loop {
+        match read(&client.0) {
+            Ok(message) => last = Some(message),
+            Err(e) => break e.kind(),
+        }
+    };
+    assert_eq!(end, ErrorKind::UnexpectedEof, "ended in order over what was not read");
+    let (tag, text) = last.expect("an answer");
+    assert!(tag == b'E' && String::from_utf8_lossy(&text).contains("too many commands ahead"), "{text:?}");
+}
+
 #[test]
 fn a_second_signal_to_end_changes_nothing() {
     let site = Site::start();
