Let the list tell news behind a gap from news that follows in order

Need: a watch that fell silent may have missed changes and speak again before a new one does. The list took its next change, moved its version on, and a new watch then asked for what comes after that: what was missed never came. And versions that discovery counts anew, told by changes alone, were skipped as old for good.

Ruled out: a deadlock between list and module (the module never sends to the list, and its mailbox is always drained; 10,000 pieces of news through a mailbox of one arrive in order), whole lists of the same or a lower version (they were taken already), an entry under another address and one that reappears (they reach the module).

Change: news stands in an order: next, gapped (counts at once, but the version held stays, and what lies between does not take it back) or anew (taken whatever its version). A change of the very version held is taken, not skipped.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -19,7 +19,7 @@
 pub use clock::Clock;
 pub use decision::{GroupId, MemberState, Outcome, Report, RequestId, SessionId, Settings, Time};
 pub use figures::Figures;
-pub use list::{ListHandle, Mask};
+pub use list::{ListHandle, Mask, Order};
 pub use messages::{Entry, Final, Incoming, ListNews};
 pub use module::{Answered, Handle, Start};
 pub use placement::Refusal;
--- a/routing/src/list.rs
+++ b/routing/src/list.rs
@@ -41,8 +41,20 @@
     shut
 }
 
+/// How news follows what was told before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Order {
+    /// Nothing is missing between: who asks for what comes after its version misses nothing.
+    #[default]
+    Next,
+    /// Changes may be missing before it. It counts, but what comes next is still asked for from before it.
+    Gapped,
+    /// Its source counts versions anew: whatever its version, it is newer than what is held.
+    Anew,
+}
+
 enum Told {
-    News(ListNews),
+    News(ListNews, Order),
     Mask(Mask),
     Taken(Sender<()>),
 }
@@ -58,7 +70,12 @@
 impl ListHandle {
     /// Hands over news; `false` when the program is ending.
     pub fn tell(&self, news: ListNews) -> bool {
-        self.to.send(Told::News(news)).is_ok()
+        self.tell_in(Order::Next, news)
+    }
+
+    /// Hands over news that stands so to what was told before; `false` when the program is ending.
+    pub fn tell_in(&self, order: Order, news: ListNews) -> bool {
+        self.to.send(Told::News(news, order)).is_ok()
     }
 
     /// What operators say from now on; it binds what is listed already at once.
@@ -106,6 +123,8 @@
 ) {
     let mut held: BTreeMap<String, Entry> = BTreeMap::new();
     let mut mask = Mask::default();
+    // Instances of which gapped news has told something newer than the version held.
+    let mut ahead: BTreeMap<String, u64> = BTreeMap::new();
     let mut told_shut = BTreeSet::new();
     // It goes before the list that it follows from: whoever sees that taken finds the groups shut.
     let mut tell_shut = |listed: &BTreeMap<String, Entry>, mask: &Mask| {
@@ -115,8 +134,8 @@
         !changed || module.send(Message::Shut(shut)).is_ok()
     };
     for told in mailbox {
-        let mut news = match told {
-            Told::News(news) => news,
+        let (mut news, order) = match told {
+            Told::News(news, order) => (news, order),
             Told::Taken(to) => {
                 _ = to.try_send(());
                 continue;
@@ -137,9 +156,19 @@
         if news.complete {
             // A whole list replaces what is held, also where its version is lower: discovery began anew.
             held = news.entries.iter().map(|e| (e.id.clone(), e.clone())).collect();
-        } else if news.version <= version.load(Ordering::Acquire) {
+            ahead.clear();
+        } else if order == Order::Anew {
+            ahead.clear();
+        } else if news.version < version.load(Ordering::Acquire) {
             // A change that is held already, repeated by a watch that was opened anew.
             continue;
+        } else {
+            // What gapped news told since must not be taken back by what lies between.
+            news.entries.retain(|e| ahead.get(&e.id).is_none_or(|newer| news.version >= *newer));
+            match order {
+                Order::Gapped => ahead.extend(news.entries.iter().map(|e| (e.id.clone(), news.version))),
+                _ => ahead.retain(|_, newer| news.version < *newer),
+            }
         }
         for e in news.entries.iter().filter(|_| !news.complete) {
             if e.state == MemberState::Gone {
@@ -150,7 +179,9 @@
         }
         let ready = held.values().filter(|e| e.state == MemberState::Ready).count();
         tracing::info!("list: version {} names {} instances, {ready} in service", news.version, held.len());
-        version.store(news.version, Ordering::Release);
+        if order != Order::Gapped || news.complete {
+            version.store(news.version, Ordering::Release);
+        }
         if let Some(f) = figures {
             // Only operators ask by name.
             *names.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = held.keys().cloned().collect();
