Hold discovery's worst silence in one sum that is checked at start

Need: a change counts as told 6 s after discovery had it and could be reached, whatever came before. The bounds were apart from each other, and no check held their sum.

Found by random histories of outages (discovery/tests/outages.rs) and by reading: - discovery/src/silence.rs: where room was wanted, the connection to go was the first without a head, which is the newest while older ones hold their heads and stay mute: an agent that needs longer than 250 ms for its head was never heard again. Nobody gives way before watch_connect + watch_answer now. - The eldest was never closed: mute with its head from an outage, it kept an agent that needs over 3 s for its first line out for good. It gives way after 10 s. - A line that came late to a busy driver hid the silence before it. Another address's changes below the version held are still skipped: an agent that lags after a move must not take a drain back. - The driver held a second descriptor for each connection; it shares the one.

Ruled out: refusals, connections not taken, mute ones, half lines and resets hold up no opening (the histories play each); half a change under a reset counts for nothing and is asked for again.

Inline tests of silence.rs and objects.rs moved to discovery/tests. Tests of watch.rs no longer take a connection for the new watch that was opened before the old one spoke: under load they failed.

--- a/discovery/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -9,18 +9,19 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use http1::Answer;
 use objects::{Objects, Piece, Unreadable};
-use routing::{ListHandle, spawn};
+use routing::{ListHandle, ListNews, Order, spawn};
 use settings::Limits;
 use silence::{Action, Event, Silence};
 use std::collections::HashMap;
-use std::io::{self, BufReader, Write};
+use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
-/// Messages from the readers that may wait for the driver.
-const WAITING: usize = 16;
+/// Messages from the readers that may wait for the driver. Each may hold a whole list.
+const WAITING: usize = 4;
 
 /// Why a connection of the watch ended. It is opened anew in any case.
 #[derive(Debug, Error)]
@@ -40,13 +41,16 @@
     /// It brought an object that is no list; nothing of it was applied.
     #[error("a list that can't be used: {0}")]
     List(settings::Error),
+    /// It brought a change whose version comes before what was asked for or told on it.
+    #[error("discovery counts its versions anew, the whole list is asked for")]
+    Anew,
 }
 
 /// What the driver hears.
 enum Heard {
     Follow(SocketAddr),
-    /// This connection is up; closing the socket ends its reader.
-    Up(u64, TcpStream),
+    /// This connection is up and asks for what comes after this version; closing the socket ends its reader.
+    Up(u64, Open),
     Head(u64),
     Piece(u64, Piece),
     Ended(u64, Broken),
@@ -59,6 +63,26 @@
     from: Mutex<Option<Receiver<Heard>>>,
     first: Mutex<bool>,
     came: Condvar,
+    /// The version held means nothing to discovery any more: the whole list is asked for.
+    whole: AtomicBool,
+}
+
+/// A connection that is up.
+struct Open {
+    socket: Arc<TcpStream>,
+    /// The version that it asked for, or told last.
+    told: u64,
+    /// Where it goes.
+    to: SocketAddr,
+}
+
+/// Reads a socket that its driver may close. Not a handle of its own: descriptors are scarce.
+struct Reading(Arc<TcpStream>);
+
+impl Read for Reading {
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        (&*self.0).read(to)
+    }
 }
 
 /// A poisoned lock guards a value that is whole all the same: each is set in one step.
@@ -80,7 +104,8 @@
     pub fn new(zones: Vec<String>, limits: Arc<Limits>, list: ListHandle) -> Self {
         let (to, from) = bounded(WAITING);
         let from = Mutex::new(Some(from));
-        let shared = Shared { to, from, first: Mutex::default(), came: Condvar::new() };
+        let (first, came, whole) = (Mutex::default(), Condvar::new(), AtomicBool::new(false));
+        let shared = Shared { to, from, first, came, whole };
         Watch { zones, limits, list, shared: Arc::new(shared) }
     }
 
@@ -116,7 +141,9 @@
     begun: Instant,
     silence: Silence,
     reader: entries::Reader,
-    sockets: HashMap<u64, TcpStream>,
+    open: HashMap<u64, Open>,
+    /// Whose version the list holds.
+    teller: Option<SocketAddr>,
     /// Failed attempts since there was a watch: the first is logged, and each tenth.
     failed: u32,
 }
@@ -130,10 +157,12 @@
             retry: limits.watch_retry,
             former: limits.watch_former,
             most: limits.watch_most,
+            chance: limits.watch_chance(),
+            patience: limits.watch_patience,
         };
         let reader = entries::Reader::new(watch.zones.clone());
-        let (begun, sockets) = (Instant::now(), HashMap::new());
-        Driver { watch, addr, begun, silence: Silence::new(settings), reader, sockets, failed: 0 }
+        let (begun, open, silence) = (Instant::now(), HashMap::new(), Silence::new(settings));
+        Driver { watch, addr, begun, silence, reader, open, teller: None, failed: 0 }
     }
 
     fn run(mut self, from: &Receiver<Heard>) {
@@ -147,14 +176,11 @@
                     self.addr = addr;
                     self.handle(Event::Follow);
                 }
-                Ok(Heard::Up(number, socket)) if self.silence.listens_to(number) => {
-                    self.sockets.insert(number, socket);
-                }
-                Ok(Heard::Up(_, socket)) => hang_up(&socket),
+                Ok(Heard::Up(number, open)) => self.up(number, open),
                 Ok(Heard::Head(number)) => self.handle(Event::Head(number)),
                 Ok(Heard::Piece(number, piece)) => {
                     if !self.piece(number, piece) {
-                        self.sockets.values().for_each(hang_up);
+                        self.open.values().for_each(|open| hang_up(&open.socket));
                         return;
                     }
                 }
@@ -165,6 +191,19 @@
         }
     }
 
+    /// Takes a connection that has come up. One that was closed meanwhile is hung up, and so is one that asks from
+    /// where discovery no longer counts.
+    fn up(&mut self, number: u64, open: Open) {
+        if !self.silence.listens_to(number) {
+            return hang_up(&open.socket);
+        }
+        let old = open.told > 0 && self.watch.shared.whole.load(Ordering::Acquire);
+        self.open.insert(number, open);
+        if old {
+            self.ended(number, &Broken::Anew);
+        }
+    }
+
     /// Takes one piece of a connection; `false` when nobody takes the news any more.
     fn piece(&mut self, connection: u64, piece: Piece) -> bool {
         if !self.silence.listens_to(connection) {
@@ -181,17 +220,54 @@
             },
         };
         self.handle(Event::Line { connection, news: news.is_some() });
-        if news.is_some_and(|news| !self.watch.list.tell(news)) {
-            return false;
+        if let Some(news) = news {
+            let (found, complete) = (news.version, news.complete);
+            // It has come up before it brings anything.
+            let Some(open) = self.open.get_mut(&connection) else { return true };
+            let (told, of) = (std::mem::replace(&mut open.told, found), open.to);
+            let order = self.order(connection, told, of, &news);
+            if !self.watch.list.tell_in(order, news) {
+                return false;
+            }
+            if complete || (found >= told && order != Order::Gapped) {
+                self.teller = Some(of);
+            }
+            if order == Order::Anew && told > 0 {
+                // What else has changed since discovery began anew is not known: nothing builds on what is held.
+                tracing::warn!("discovery: version {found} came after {told}");
+                self.watch.shared.whole.store(true, Ordering::Release);
+                let all: Vec<u64> = self.open.keys().copied().collect();
+                all.iter().for_each(|number| self.ended(*number, &Broken::Anew));
+            } else if complete || order == Order::Anew {
+                self.watch.shared.whole.store(false, Ordering::Release);
+            }
         }
         *open(&self.watch.shared.first) = true;
         self.watch.shared.came.notify_all();
         true
     }
 
+    /// How news of this connection, which was at the version `told`, follows what the list has.
+    fn order(&self, connection: u64, told: u64, of: SocketAddr, news: &ListNews) -> Order {
+        let whole = self.watch.shared.whole.load(Ordering::Acquire);
+        if news.complete {
+            // It stands for itself, whatever came before.
+            Order::Next
+        } else if (news.version < told && self.teller == Some(of)) || (whole && told == 0) {
+            // Its own versions have gone back. Another agent's, after a move, may only be behind: what lies below the
+            // version held is not taken then, until it brings a whole list.
+            Order::Anew
+        } else if self.silence.fell_silent(connection) {
+            // It may have missed changes, and a new watch must still ask for these.
+            Order::Gapped
+        } else {
+            Order::Next
+        }
+    }
+
     fn ended(&mut self, number: u64, why: &Broken) {
-        if let Some(socket) = self.sockets.remove(&number) {
-            hang_up(&socket);
+        if let Some(open) = self.open.remove(&number) {
+            hang_up(&open.socket);
         }
         if !self.silence.listens_to(number) {
             return;
@@ -213,8 +289,8 @@
             match action {
                 Action::Open(number) => self.open(number),
                 Action::Close(number) => {
-                    if let Some(socket) = self.sockets.remove(&number) {
-                        hang_up(&socket);
+                    if let Some(open) = self.open.remove(&number) {
+                        hang_up(&open.socket);
                     }
                 }
                 Action::Silent(_) => {
@@ -232,11 +308,11 @@
     /// Starts a connection's reader. Where that fails, the connection has ended.
     fn open(&mut self, number: u64) {
         let (addr, limits) = (self.addr, self.watch.limits.clone());
-        let (list, to) = (self.watch.list.clone(), self.watch.shared.to.clone());
+        let (list, shared) = (self.watch.list.clone(), self.watch.shared.clone());
         let read = move || {
-            let why = read(addr, number, &limits, &list, &to).err().unwrap_or(Broken::Closed);
+            let why = read(addr, number, &limits, &list, &shared).err().unwrap_or(Broken::Closed);
             // An error means that the driver has ended.
-            _ = to.send(Heard::Ended(number, why));
+            _ = shared.to.send(Heard::Ended(number, why));
         };
         if let Err(e) = spawn("discovery", self.watch.limits.stack_bytes, read) {
             self.ended(number, &Broken::Socket(e));
@@ -256,18 +332,21 @@
     number: u64,
     limits: &Limits,
     list: &ListHandle,
-    to: &Sender<Heard>,
+    shared: &Shared,
 ) -> Result<(), Broken> {
-    let mut socket = TcpStream::connect_timeout(&addr, limits.watch_connect)?;
+    let to = &shared.to;
+    let socket = TcpStream::connect_timeout(&addr, limits.watch_connect)?;
     socket.set_nodelay(true)?;
     socket.set_read_timeout(Some(limits.watch_silent))?;
     socket.set_write_timeout(Some(limits.watch_silent))?;
-    if to.send(Heard::Up(number, socket.try_clone()?)).is_err() {
+    let version = if shared.whole.load(Ordering::Acquire) { 0 } else { list.version() };
+    let socket = Arc::new(socket);
+    let open = Open { socket: socket.clone(), told: version, to: addr };
+    if to.send(Heard::Up(number, open)).is_err() {
         return Ok(());
     }
-    let version = list.version();
-    write!(socket, "GET /v1/servers?stream=1&index={version} HTTP/1.1\r\nHost: {addr}\r\n\r\n")?;
-    let answer = Answer::read(BufReader::with_capacity(8192, socket))?;
+    write!(&*socket, "GET /v1/servers?stream=1&index={version} HTTP/1.1\r\nHost: {addr}\r\n\r\n")?;
+    let answer = Answer::read(BufReader::with_capacity(8192, Reading(socket)))?;
     if answer.code != 200 {
         return Err(Broken::Status(answer.code));
     }
--- a/discovery/src/silence.rs
+++ b/discovery/src/silence.rs
@@ -6,6 +6,9 @@
 //! the next one is opened; it is not closed for that, since an agent without news says its first empty line late.
 //! What a connection has brought in part counts for nothing: neither half a line nor single bytes hold up the clock.
 //!
+//! What is opened while the agent answers, and brings its first line within `chance`, is heard: none is closed before
+//! for want of room, as long as `most - 1` openings take at least that long.
+//!
 //! No I/O, no clock, no threads: the same events at the same times give the same actions.
 use std::time::Duration;
 
@@ -22,6 +25,10 @@
     pub former: Duration,
     /// Connections that may wait for their first line at a time, at least 1.
     pub most: usize,
+    /// What a connection may take to come up and bring its first line, and is never closed before for want of room.
+    pub chance: Duration,
+    /// The eldest gives way too once it has waited this long.
+    pub patience: Duration,
 }
 
 /// The time between two openings is this part of the time without a watch.
@@ -86,6 +93,8 @@
     without: Option<Duration>,
     /// No opening before then.
     next: Duration,
+    /// When the newest one was opened.
+    opened: Option<Duration>,
 }
 
 impl Silence {
@@ -99,9 +108,15 @@
             former_until: None,
             without: None,
             next: Duration::ZERO,
+            opened: None,
         }
     }
 
+    /// Whether this connection fell silent once: changes that it brings since then may have others missing before them.
+    pub fn fell_silent(&self, number: u64) -> bool {
+        self.connections.iter().any(|c| c.number == number && c.silent)
+    }
+
     /// Whether this connection is listened to.
     pub fn listens_to(&self, number: u64) -> bool {
         self.connections.iter().any(|c| c.number == number)
@@ -109,6 +124,13 @@
 
     /// Takes what happened at `now`, a time since any fixed moment, and says what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        // Before the event: a line that ends a silence must not hide it, however late this is called.
+        for c in &mut self.connections {
+            if !c.silent && c.heard.is_some_and(|heard| now >= heard + self.settings.silent) {
+                c.silent = true;
+                actions.push(Action::Silent(c.number));
+            }
+        }
         match event {
             Event::Follow => self.follow(now, actions),
             Event::Head(number) => {
@@ -165,7 +187,8 @@
         self.following = true;
         self.former_until = keep.map(|_| now + self.settings.former);
         self.without = Some(now);
-        self.next = now;
+        // Moves that come fast, as signals may, open no more connections than an outage does.
+        self.next = self.opened.map_or(now, |opened| now.max(opened + self.settings.retry.0));
     }
 
     fn line(&mut self, now: Duration, number: u64, news: bool, actions: &mut Vec<Action>) {
@@ -182,13 +205,7 @@
     }
 
     fn settle(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let Settings { silent, answer: _, retry, former: _, most } = self.settings;
-        for c in &mut self.connections {
-            if !c.silent && c.heard.is_some_and(|heard| now >= heard + silent) {
-                c.silent = true;
-                actions.push(Action::Silent(c.number));
-            }
-        }
+        let Settings { retry, most, chance, patience, .. } = self.settings;
         if self.former_until.is_some_and(|until| now >= until) && self.spoken() {
             self.former_until = None;
             self.close(actions, |c| !c.current);
@@ -208,14 +225,18 @@
             return;
         }
         let waiting: Vec<&Connection> = self.connections.iter().filter(|c| c.heard.is_none()).collect();
-        if waiting.len() >= most {
-            // The eldest stays: an agent that is only slow gets one whole chance. Of the others, those that have a
-            // head need longer than those without.
-            let younger = waiting.get(1..).unwrap_or_default();
-            let victim = younger.iter().find(|c| !c.head).or(younger.first()).or(waiting.first());
+        if waiting.len() >= most.max(1) {
+            // The eldest stays for long, so that an agent that is only slow is heard, but not for good: it may have
+            // come up while the agent was away and stay mute. Of the others, those that have a head need longer than
+            // those without, which may have no head yet only because they are young.
+            let (eldest, younger) = waiting.split_at(1);
+            let spent = |c: &&&Connection| !c.head && now >= c.opened + chance;
+            let eldest = eldest.first().filter(|c| younger.is_empty() || now >= c.opened + patience);
+            let victim = eldest.or(younger.iter().find(spent)).or(younger.first());
             let victim = victim.map(|c| c.number);
             self.close(actions, |c| Some(c.number) == victim);
         }
+        self.opened = Some(now);
         self.newest += 1;
         let number = self.newest;
         self.connections.push(Connection {
@@ -230,6 +251,3 @@
         actions.push(Action::Open(number));
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/discovery/src/silence/tests.rs
+++ b/discovery/tests/silence.rs
@@ -1,5 +1,6 @@
 //! An agent in virtual time: what its connections bring decides what the state machine opens and closes.
-use super::*;
+use discovery::silence::{Action, Event, Settings, Silence};
+use std::time::Duration;
 
 const STEP: u64 = 10;
 
@@ -14,6 +15,8 @@
         retry: (ms(250), ms(1000)),
         former: ms(4000),
         most: 6,
+        chance: ms(1100),
+        patience: ms(10_000),
     })
 }
 
@@ -225,3 +228,39 @@
     assert_eq!(seen.heard, [(1000, 250)]);
     assert!(seen.opened.iter().filter(|at| **at > 1000).count() >= 6);
 }
+
+#[test]
+fn a_line_that_ends_a_silence_does_not_hide_it_from_a_late_driver() {
+    let (mut silence, mut actions) = (machine(), Vec::new());
+    silence.handle(ms(0), Event::Follow, &mut actions);
+    silence.handle(ms(10), Event::Line { connection: 1, news: true }, &mut actions);
+    actions.clear();
+    // Due at 2610; the driver comes to it only now, and finds the line first.
+    silence.handle(ms(2700), Event::Line { connection: 1, news: true }, &mut actions);
+    assert_eq!(actions, [Action::Silent(1), Action::Open(2)]);
+    assert!(silence.fell_silent(1) && !silence.fell_silent(2));
+    assert!(silence.listens_to(1), "it counts until another one speaks");
+}
+
+#[test]
+fn an_eldest_that_stays_mute_gives_way_to_an_agent_that_needs_long_for_its_first_line() {
+    fn slow(opened: u64, now: u64) -> Option<Said> {
+        match now.checked_sub(opened) {
+            Some(STEP) => Some(Said::Head),
+            Some(6000) if opened > 0 => Some(Said::News),
+            _ => None,
+        }
+    }
+    assert!(known(slow, 30_000) <= 10_000 + 6000);
+}
+
+#[test]
+fn moves_that_come_fast_open_no_more_than_an_outage_does() {
+    fn never(_: u64, _: u64) -> Option<Said> {
+        None
+    }
+    let moves: Vec<u64> = (0..100).map(|n| n * STEP).collect();
+    let seen = play_with(&mut machine(), never, &moves, 1000);
+    assert_eq!(seen.opened, [0, 250, 500, 750]);
+    assert!(seen.most <= 2, "{seen:?}");
+}
--- a/discovery/tests/watch.rs
+++ b/discovery/tests/watch.rs
@@ -70,6 +70,12 @@
         self.connections.recv_timeout(LONG).expect("a connection")
     }
 
+    /// The next connection that asks from this version. On a busy machine others may have been opened before it.
+    fn asked(&self, from: &str) -> TcpStream {
+        let mut next = (0..64).map(|_| self.next());
+        next.find(|(index, _)| index == from).expect("a watch that asks from there").1
+    }
+
     /// The next connection, its head written.
     fn watch(&self) -> TcpStream {
         let socket = self.next().1;
@@ -92,8 +98,15 @@
     )
 }
 
+fn change(version: u64, id: &str, state: &str) -> String {
+    format!(
+        r#"{{"version":{version},"full":false,"servers":[{{"id":"{id}","addr":"127.0.0.1:1","zone":"a","cell":1,"state":"{state}"}}]}}"#
+    )
+}
+
 struct Site {
     watch: Watch,
+    list: routing::ListHandle,
     news: Receiver<Message<NoWire>>,
     _keep: Sender<Message<NoWire>>,
 }
@@ -103,12 +116,28 @@
         let mut limits = Limits::new(256, 192 << 20, LONG, LONG, LONG);
         limits.watch_silent = Duration::from_millis(silent);
         limits.watch_answer = Duration::from_millis(answer);
-        limits.watch_retry = (Duration::from_millis(20), Duration::from_millis(100));
+        // Where silence is no part of a test, a second connection beside one that is about to speak isn't either.
+        let retry = if silent < 1000 { [20, 100] } else { [1000, 1000] };
+        limits.watch_retry = (Duration::from_millis(retry[0]), Duration::from_millis(retry[1]));
         // None has to give way, however slowly a test goes on.
         limits.watch_most = 64;
         let (to, news) = bounded(64);
         let list = routing::list::start(&limits, to.clone(), None).unwrap();
-        Site { watch: Watch::new(vec!["a".into()], Arc::new(limits), list), news, _keep: to }
+        let watch = Watch::new(vec!["a".into()], Arc::new(limits), list.clone());
+        Site { watch, list, news, _keep: to }
+    }
+
+    /// Has a new watch that asks from this version tell this. On a busy machine one may have been given up before it
+    /// could; then the next does.
+    fn hears(&self, agent: &Agent, from: &str, text: &str) -> (ListNews, TcpStream) {
+        for _ in 0..16 {
+            let socket = agent.asked(from);
+            _ = (&socket).write_all((HEAD.to_string() + &chunk(text)).as_bytes());
+            if let Ok(Message::List(news)) = self.news.recv_timeout(Duration::from_secs(2)) {
+                return (news, socket);
+            }
+        }
+        panic!("no new watch is heard");
     }
 
     fn news(&self) -> ListNews {
@@ -123,37 +152,30 @@
 fn every_kind_of_silence_ends_in_a_new_watch_that_resumes_where_the_old_one_was() {
     type Silent = fn(&Agent);
     let kinds: [(&str, Silent); 5] = [
-        ("accepts and says nothing", |agent| hold(agent.next().1)),
-        ("a head and no line", |agent| hold(agent.watch())),
-        ("half a line", |agent| {
-            let socket = agent.watch();
-            say(&socket, &list(9)[..40]);
-            hold(socket);
-        }),
-        ("half a head", |agent| {
-            let socket = agent.next().1;
-            (&socket).write_all(&HEAD.as_bytes()[..20]).unwrap();
-            hold(socket);
-        }),
-        ("closes at once", |agent| drop(agent.next())),
+        ("accepts and says nothing", |agent| hold(agent.asked("5"))),
+        ("a head and no line", |agent| begin(agent.asked("5"), HEAD)),
+        ("half a line", |agent| begin(agent.asked("5"), &(HEAD.to_string() + &chunk(&list(9)[..40])))),
+        ("half a head", |agent| begin(agent.asked("5"), &HEAD[..20])),
+        ("closes at once", |agent| drop(agent.asked("5"))),
     ];
     for (kind, silent) in kinds {
         let (agent, site) = (Agent::start(), Site::start(200, 50));
         site.watch.follow(agent.addr).unwrap();
-        let old = agent.watch();
-        say(&old, &list(5));
-        assert_eq!(site.news().version, 5);
+        let (news, old) = site.hears(&agent, "0", &list(5));
+        assert_eq!(news.version, 5);
         // Silent from here on, and so is the first new connection.
         silent(&agent);
-        let (index, new) = agent.next();
-        assert_eq!(index, "5", "{kind}");
-        (&new).write_all(HEAD.as_bytes()).unwrap();
-        say(&new, &list(6));
-        assert_eq!(site.news().version, 6, "{kind}");
+        assert_eq!(site.hears(&agent, "5", &list(6)).0.version, 6, "{kind}");
         drop(old);
     }
 }
 
+/// Writes this and nothing more; on a busy machine the connection may have been given up.
+fn begin(socket: TcpStream, text: &str) {
+    _ = (&socket).write_all(text.as_bytes());
+    hold(socket);
+}
+
 /// Keeps a connection open for good.
 fn hold(socket: TcpStream) {
     std::mem::forget(socket);
@@ -168,15 +190,15 @@
     site.news();
     // A byte each 20 ms, far more often than a read gives up.
     say(&old, "{\"version\":6,\"x\":\"");
-    let (_, new) = loop {
+    loop {
         say(&old, "a");
-        if let Ok(new) = agent.connections.recv_timeout(Duration::from_millis(20)) {
-            break new;
+        // One that asks from before was opened before the old one spoke.
+        match agent.connections.recv_timeout(Duration::from_millis(20)) {
+            Ok((index, _)) if index == "5" => break,
+            _ => {}
         }
-    };
-    (&new).write_all(HEAD.as_bytes()).unwrap();
-    say(&new, &list(7));
-    assert_eq!(site.news().version, 7);
+    }
+    assert_eq!(site.hears(&agent, "5", &list(7)).0.version, 7);
 }
 
 #[test]
@@ -259,3 +281,139 @@
     assert!(old.connections.is_empty(), "the old address is left alone");
     drop(silent);
 }
+
+#[test]
+fn what_an_old_watch_tells_after_its_silence_counts_and_new_ones_still_ask_for_what_it_missed() {
+    let (agent, site) = (Agent::start(), Site::start(100, 50));
+    site.watch.follow(agent.addr).unwrap();
+    let old = agent.watch();
+    say(&old, &list(5));
+    site.news();
+    // It has fallen silent. Versions 6 and 7 never come on it, and then it speaks again.
+    hold(agent.asked("5"));
+    say(&old, &change(8, "a", "terminating"));
+    assert_eq!(site.news().version, 8);
+    // Those that are opened once the list has that ask for what was missed all the same.
+    assert!(site.list.taken(LONG));
+    for _ in 0..8 {
+        assert_eq!(agent.next().0, "5");
+    }
+    let (news, new) = site.hears(&agent, "5", &change(8, "b", "terminating"));
+    assert_eq!((news.version, news.entries[0].id.as_str()), (8, "b"));
+    drop(new);
+    // Nothing is missing any more.
+    agent.asked("8");
+}
+
+#[test]
+fn versions_counted_anew_are_taken_and_the_whole_list_is_asked_for() {
+    let (agent, site) = (Agent::start(), Site::start(60_000, 60_000));
+    site.watch.follow(agent.addr).unwrap();
+    let old = agent.watch();
+    say(&old, &list(45));
+    site.news();
+    drop(old);
+    // Begun anew, it gives changes alone.
+    let (index, new) = agent.next();
+    assert_eq!(index, "45");
+    (&new).write_all(HEAD.as_bytes()).unwrap();
+    say(&new, &change(2, "a", "terminating"));
+    assert_eq!(site.news().version, 2);
+    // What else has changed is not known.
+    // Even now it gives changes alone.
+    let (news, new) = site.hears(&agent, "0", &change(2, "b", "terminating"));
+    assert_eq!(news.entries[0].id, "b");
+    say(&new, &change(3, "c", "terminating"));
+    assert_eq!(site.news().version, 3);
+    assert!(site.list.taken(LONG));
+    drop(new);
+    agent.asked("3");
+}
+
+#[test]
+fn a_whole_list_of_the_same_version_or_a_lower_one_counts_after_a_move() {
+    for version in [45, 7] {
+        let (old, new, site) = (Agent::start(), Agent::start(), Site::start(60_000, 60_000));
+        site.watch.follow(old.addr).unwrap();
+        let before = old.watch();
+        say(&before, &list(45));
+        site.news();
+        site.watch.follow(new.addr).unwrap();
+        let socket = new.watch();
+        say(&socket, &list(version));
+        assert_eq!(site.news().version, version);
+        // The old one is closed by that news; what it says behind it counts for nothing.
+        before.set_read_timeout(Some(LONG)).unwrap();
+        assert_eq!(std::io::Read::read(&mut &before, &mut [0; 1]).unwrap_or(0), 0, "closed");
+        say(&socket, &change(version + 1, "b", "terminating"));
+        assert_eq!(site.news().version, version + 1);
+    }
+}
+
+#[test]
+fn an_agent_that_gives_a_byte_at_a_time_is_heard() {
+    let (agent, site) = (Agent::start(), Site::start(60_000, 60_000));
+    site.watch.follow(agent.addr).unwrap();
+    let (_, socket) = agent.next();
+    let indented = list(5).replace(',', ",\n  ") + "\n";
+    let whole = [HEAD.to_string(), chunk(&indented), chunk("\n"), chunk(&(list(6) + "\n"))].concat();
+    for byte in whole.as_bytes() {
+        (&socket).write_all(&[*byte]).unwrap();
+    }
+    assert_eq!([site.news().version, site.news().version], [5, 6]);
+}
+
+#[test]
+fn the_longest_list_is_taken_and_one_that_never_ends_breaks_the_watch_at_its_bound() {
+    let (agent, site) = (Agent::start(), Site::start(60_000, 60_000));
+    site.watch.follow(agent.addr).unwrap();
+    let socket = agent.watch();
+    // An indented list of 4 MB, whole in one chunk.
+    let most = Limits::new(256, 192 << 20, LONG, LONG, LONG).list_bytes;
+    assert_eq!(most, 4 << 20);
+    let entry = |n: usize| {
+        format!(
+            "\n    {{\"id\": \"i{n}\", \"addr\": \"127.0.0.1:1\", \"zone\": \"a\", \"cell\": 1, \"state\": \"in_service\"}}"
+        )
+    };
+    let servers: Vec<String> = (0..40_000).map(entry).collect();
+    let text = format!("{{\n  \"version\": 5, \"full\": true, \"servers\": [{}]", servers.join(","));
+    let text = format!("{text}{}}}\n", " ".repeat(most - text.len() - 1));
+    say(&socket, &text);
+    let news = site.news();
+    assert_eq!((news.version, news.entries.len()), (5, 40_000));
+    // An object that never ends: the reader gives it up, at a byte more than its bound.
+    let mut endless = socket;
+    endless.write_all(chunk("{\"version\":6,\"x\":\"").as_bytes()).unwrap();
+    let more = chunk(&"a".repeat(1 << 16));
+    let taken = (0..1024).take_while(|_| endless.write_all(more.as_bytes()).is_ok()).count();
+    // What the kernel holds on both sides comes on top.
+    assert!((64..512).contains(&taken), "{taken} pieces of 64 KiB were taken");
+    let socket = agent.asked("5");
+    // So it does with a head and with a chunk's size that never end.
+    _ = (&socket).write_all(&[HEAD.as_bytes(), &[b'0'; 100]].concat());
+    let (_, socket) = agent.next();
+    _ = (&socket).write_all(format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(20_000)).as_bytes());
+    let socket = agent.watch();
+    say(&socket, &list(7));
+    assert_eq!(site.news().version, 7);
+}
+
+#[test]
+fn an_agent_that_lags_behind_the_old_one_takes_nothing_back_by_its_changes() {
+    let (old, new, site) = (Agent::start(), Agent::start(), Site::start(60_000, 60_000));
+    site.watch.follow(old.addr).unwrap();
+    let before = old.watch();
+    say(&before, &list(45));
+    site.news();
+    site.watch.follow(new.addr).unwrap();
+    let (index, socket) = new.next();
+    assert_eq!(index, "45");
+    (&socket).write_all(HEAD.as_bytes()).unwrap();
+    // It gives on whatever it gets, also what lies before the version asked for.
+    say(&socket, &change(44, "b", "in_service"));
+    say(&socket, &change(46, "c", "terminating"));
+    assert_eq!(site.news().version, 46);
+    drop(socket);
+    new.asked("46");
+}
--- a/settings/src/error.rs
+++ b/settings/src/error.rs
@@ -52,6 +52,9 @@
     /// The table of a fleet's members can't be used.
     #[error(transparent)]
     Members(#[from] crate::members::Error),
+    /// The bounds of discovery's watch don't go together.
+    #[error(transparent)]
+    Watch(#[from] crate::limits::WatchError),
     /// The text is no JSON.
     #[error("expected JSON: {0}")]
     Json(#[from] serde_json::Error),
--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -1,5 +1,6 @@
 //! Every size, count and time that bounds the program, in one type that is filled at start and handed down.
 use std::time::Duration;
+use thiserror::Error;
 
 /// The bounds of one router.
 #[derive(Clone, Debug, PartialEq)]
@@ -154,8 +155,66 @@
     pub watch_former: Duration,
     /// Connections of the watch that may wait for their first line at a time.
     pub watch_most: usize,
+    /// The eldest of them gives way to others once it has waited this long.
+    pub watch_patience: Duration,
+    /// What discovery has counts as told this long after it could be reached, or after its watch fell silent.
+    pub watch_told: Duration,
+    /// So much of that is left for a busy processor, and for the way from the watch to the module.
+    pub watch_margin: Duration,
 }
 
+/// Why the bounds of discovery's watch don't go together.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum WatchError {
+    /// News may come too late.
+    #[error(
+        "a change would be heard {sum:?} after discovery has it, later than {told:?} less the margin of {margin:?}: shorten watch_silent, watch_retry, watch_connect or watch_answer"
+    )]
+    Late {
+        /// The longest it may take.
+        sum: Duration,
+        /// When it counts as told.
+        told: Duration,
+        /// What has to be left of that.
+        margin: Duration,
+    },
+    /// News of another address may come too late.
+    #[error(
+        "after a move a change would be heard after {sum:?}, later than watch_former ({former:?}) less the margin of {margin:?}: shorten watch_retry, watch_connect or watch_answer"
+    )]
+    Moved {
+        /// The longest it may take.
+        sum: Duration,
+        /// When the new address counts as told.
+        former: Duration,
+        /// What has to be left of that.
+        margin: Duration,
+    },
+    /// Discovery says an empty line each so often, which must not look like silence.
+    #[error(
+        "watch_silent is {silent:?}, expected more than {pause:?}, in which discovery may have nothing to say"
+    )]
+    Hasty {
+        /// When a watch counts as silent.
+        silent: Duration,
+        /// How long one that is not may say nothing.
+        pause: Duration,
+    },
+    /// A new watch would be closed for others before it can speak.
+    #[error(
+        "a new watch would give way to others after {after:?}, before watch_connect and watch_answer ({chance:?}) are over: raise watch_most or watch_retry"
+    )]
+    Crowded {
+        /// When it may have to give way.
+        after: Duration,
+        /// What it needs.
+        chance: Duration,
+    },
+}
+
+/// Discovery says an empty line this often where it has no news.
+const EMPTY_LINE: Duration = Duration::from_secs(2);
+
 /// After SIGTERM, the front learns for this long that the router is going.
 const GRACE: Duration = Duration::from_millis(600);
 
@@ -249,6 +308,52 @@
             watch_former: Duration::from_secs(4),
             // One each 600 ms: the first to come has its empty line after 2 s before it would have to give way.
             watch_most: 6,
+            watch_patience: Duration::from_secs(10),
+            watch_told: Duration::from_secs(6),
+            watch_margin: Duration::from_secs(1),
+        }
+    }
+
+    /// What a new watch may take to come up and bring its first line, however slow the agent: nothing closes it before
+    /// for want of room, and whatever was opened while the agent answers has been heard by then.
+    pub fn watch_chance(&self) -> Duration {
+        self.watch_connect + self.watch_answer
+    }
+
+    /// The longest from discovery having a change, and answering new connections, to the list's actor having it.
+    ///
+    /// A watch that nobody knows to be silent takes `watch_silent` to be found so. Then a connection is opened at once,
+    /// or, where one was opened just before the agent answered again, after `watch_retry.1` at the latest, or
+    /// `watch_answer` where that one has its head. Which of the states that one is in (refused, not taken, mute, a
+    /// head, half a line, reset) changes nothing: none holds up the next opening. It comes up within `watch_connect`
+    /// and brings its first line, with the change, within `watch_answer`.
+    pub fn worst_silence(&self) -> Duration {
+        self.watch_silent + self.watch_retry.1.max(self.watch_answer) + self.watch_chance()
+    }
+
+    /// The same after a move to an address that answers: the watch's last opening may have been just before.
+    pub fn worst_move(&self) -> Duration {
+        self.watch_retry.0 + self.watch_chance()
+    }
+
+    /// Whether the bounds of discovery's watch go together: the one place that holds them below what counts as told.
+    ///
+    /// # Errors
+    /// Where they don't, what to change.
+    pub fn check_watch(&self) -> Result<(), WatchError> {
+        let (told, margin) = (self.watch_told, self.watch_margin);
+        let (silence, moved, former) = (self.worst_silence(), self.worst_move(), self.watch_former);
+        let chance = self.watch_chance();
+        // The one before it is opened this long before it; the eldest does not give way for it.
+        let after = self.watch_retry.0 * self.watch_most.saturating_sub(1).min(1 << 20) as u32;
+        match () {
+            () if silence + margin > told => Err(WatchError::Late { sum: silence, told, margin }),
+            () if moved + margin > former => Err(WatchError::Moved { sum: moved, former, margin }),
+            () if self.watch_silent <= EMPTY_LINE => {
+                Err(WatchError::Hasty { silent: self.watch_silent, pause: EMPTY_LINE })
+            }
+            () if after < chance => Err(WatchError::Crowded { after, chance }),
+            () => Ok(()),
         }
     }
 }
--- a/settings/src/start.rs
+++ b/settings/src/start.rs
@@ -129,6 +129,7 @@
     let keepalive = Duration::from_secs_f64((keepalive / 1000.0).clamp(0.1, 86_400.0));
     let limits =
         Limits::new(sockets, memory << 20, micros(settings.connect_timeout), keepalive, micros(longest));
+    limits.check_watch().map_err(|e| Error::from(e).at("limits"))?;
     Ok(Start {
         name: told(env, "BALANCER_NAME", &v, "name")?,
         listen: told(env, "BALANCER_LISTEN", &v, "listen")?,
--- /dev/null
+++ b/settings/tests/limits.rs
@@ -0,0 +1,65 @@
+//! Bounds that have to go together, each broken in turn.
+use settings::Limits;
+use settings::limits::WatchError;
+use std::time::Duration;
+
+fn limits() -> Limits {
+    let long = Duration::from_secs(20);
+    Limits::new(256, 192 << 20, long, long, long)
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[test]
+fn the_bounds_of_discoverys_watch_leave_a_second_of_the_six() {
+    let limits = limits();
+    assert_eq!(limits.check_watch(), Ok(()));
+    // Silence, the pause between two openings, a connection and its first line.
+    assert_eq!(limits.worst_silence(), ms(2600 + 1000 + 500 + 600));
+    assert_eq!(limits.worst_move(), ms(250 + 500 + 600));
+    assert!(limits.worst_silence() + limits.watch_margin <= limits.watch_told);
+    assert_eq!((limits.watch_told, limits.watch_margin), (ms(6000), ms(1000)));
+}
+
+#[test]
+fn each_bound_of_discoverys_watch_that_is_too_long_or_too_short_is_an_error_that_says_what_to_do() {
+    type Break = fn(&mut Limits);
+    let late: [(&str, Break); 5] = [
+        ("silent", |l| l.watch_silent = ms(2901)),
+        ("retry", |l| l.watch_retry.1 = ms(1301)),
+        ("connect", |l| (l.watch_connect, l.watch_most) = (ms(801), 16)),
+        ("answer, in the line", |l| (l.watch_answer, l.watch_most) = (ms(901), 16)),
+        ("answer, before the next opening", |l| l.watch_answer = ms(1001)),
+    ];
+    for (which, spoil) in late {
+        let mut limits = limits();
+        spoil(&mut limits);
+        let found = limits.check_watch();
+        assert!(matches!(found, Err(WatchError::Late { .. })), "{which}: {found:?}");
+        let said = found.unwrap_err().to_string();
+        assert!(said.contains("later than 6s less the margin of 1s: shorten watch_silent"), "{said}");
+    }
+    for (which, spoil) in
+        [("told", (|l| l.watch_told = ms(5699)) as Break), ("margin", |l| l.watch_margin = ms(1301))]
+    {
+        let mut limits = limits();
+        spoil(&mut limits);
+        assert!(matches!(limits.check_watch(), Err(WatchError::Late { .. })), "{which}");
+    }
+    let broken = |spoil: Break| {
+        let mut limits = limits();
+        spoil(&mut limits);
+        limits.check_watch().unwrap_err()
+    };
+    let moved = broken(|l| l.watch_former = ms(2349));
+    assert!(matches!(moved, WatchError::Moved { .. }), "{moved}");
+    let hasty = broken(|l| l.watch_silent = ms(2000));
+    assert!(matches!(hasty, WatchError::Hasty { .. }), "{hasty}");
+    for spoil in [(|l| l.watch_most = 5) as Break, |l| l.watch_most = 0, |l| l.watch_retry.0 = ms(219)] {
+        let crowded = broken(spoil);
+        assert!(matches!(crowded, WatchError::Crowded { .. }), "{crowded}");
+        assert!(crowded.to_string().contains("raise watch_most or watch_retry"), "{crowded}");
+    }
+}
