Count every descriptor beside clients and links, the operators' door among them

Need: with idle clients at their bound and discovery down, the watch must still open, six at a time, and SIGHUP, links, probes and the door go on. What was set aside for all else was a bare 40.

But the door came on top: its listener and poll, 32 callers who may stand there stuck for 10 s each and one over the bound, up to six files of what is held by hand. At 64 descriptors that is 81 beside 24 of clients and links: stuck callers took the watch's and the clients' descriptors (clients: cannot accept: Too many open files).

Ruled out: links over their bound (a link counts until its socket's owner is dropped), newcomers (one is accepted while it waits for room, and is in the sum).

Change: the parts stand by name in settings/src/limits.rs; where a door is configured its share comes out of what clients and links get, and of few descriptors it has fewer callers (2 of 64, 14 of 256, 30 of 512, 32 from 544 on). A list may be a 32nd of the memory at most, 4 MB as before from 128 MB on: each connection of the watch may hold one.

Measured: clients + links + all else fit at each number of descriptors from 64 to 4096 with and without a door (settings/tests/limits.rs; fails where the door is left out of the sum).

--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -65,6 +65,8 @@
     pub client_connections: usize,
     /// Connections that may be open to all instances together.
     pub link_connections: usize,
+    /// Descriptors that are neither clients' nor links': so many may be open beside all of these.
+    pub set_aside: usize,
     /// Connections that may be open to one instance.
     pub links_per_peer: usize,
     /// Requests that one client connection may have written ahead of its answers.
@@ -218,6 +220,42 @@
 /// After SIGTERM, the front learns for this long that the router is going.
 const GRACE: Duration = Duration::from_millis(600);
 
+/// What may be open beside the connections of clients and to instances, all at the same moment.
+mod aside {
+    const STREAMS: usize = 3;
+    /// Its accepting thread has a handle of its own.
+    const LISTENER: usize = 2;
+    /// A client that is accepted waits here for its room.
+    const NEWCOMER: usize = 1;
+    /// What tells of clients that leave.
+    const POLL: usize = 1;
+    const SIGNALS: usize = 2;
+    /// The configuration, while SIGHUP has it read.
+    const FILE: usize = 1;
+    /// Wakes the accepting thread at the end.
+    const WAKE: usize = 1;
+    /// Connections of the watch that wait for their first line.
+    pub const WATCHES: usize = 6;
+    /// Beside those that wait: one that fell silent, and after a move the old address's. Each may have been closed
+    /// and its reader not be gone yet while another stands in its place.
+    const WATCH: usize = 2 * (WATCHES + 2);
+    /// Clients and links that count no more, whose last handle a thread is about to drop.
+    const ENDING: usize = 6;
+    /// What the system's libraries open in passing.
+    const PASSING: usize = 7;
+    pub const ROUTER: usize =
+        STREAMS + LISTENER + NEWCOMER + POLL + SIGNALS + FILE + WAKE + WATCH + ENDING + PASSING;
+    /// With the operators' door: its listener and poll, a caller over the bound, and of what is held by hand the kept
+    /// file, its lock, the next one, the folder, this process's mark and another's.
+    pub const DOOR: usize = 3 + 6;
+}
+
+/// What clients and links get of so many descriptors.
+fn share(sockets: usize, aside: usize) -> (usize, usize) {
+    let free = sockets.saturating_sub(aside).max(12);
+    (free * 3 / 4, free / 4)
+}
+
 impl Limits {
     /// The bounds for a process that may hold `sockets` descriptors and `memory` bytes and whose instances close a connection
     /// left idle for `keepalive`.
@@ -228,8 +266,8 @@
         keepalive: Duration,
         longest_deadline: Duration,
     ) -> Self {
-        // Standard streams, the listener, the watch, the signal pipe and some slack are not ours to hand out.
-        let free = sockets.saturating_sub(40).max(16);
+        let set_aside = aside::ROUTER;
+        let (client_connections, link_connections) = share(sockets, set_aside);
         let most = longest_deadline.max(Duration::from_secs(3)) + GRACE;
         Limits {
             stack_bytes: 96 * 1024,
@@ -260,9 +298,11 @@
             session_silent: Duration::from_secs(5),
             session_compact_bytes: 8 << 20,
             session_disk_retry: Duration::from_secs(1),
-            list_bytes: 4 << 20,
-            client_connections: free * 3 / 4,
-            link_connections: free / 4,
+            // Each connection of the watch may hold one in part, and the driver some more.
+            list_bytes: (memory / 32).min(4 << 20),
+            client_connections,
+            link_connections,
+            set_aside,
             links_per_peer: 64,
             pipelined: 64,
             mailbox: 4096,
@@ -307,13 +347,20 @@
             watch_retry: (Duration::from_millis(250), Duration::from_secs(1)),
             watch_former: Duration::from_secs(4),
             // One each 600 ms: the first to come has its empty line after 2 s before it would have to give way.
-            watch_most: 6,
+            watch_most: aside::WATCHES,
             watch_patience: Duration::from_secs(10),
             watch_told: Duration::from_secs(6),
             watch_margin: Duration::from_secs(1),
         }
     }
 
+    /// Takes what the operators' door needs out of what clients and links share; of few descriptors it gets fewer callers.
+    pub fn open_door(&mut self, sockets: usize) {
+        self.door_callers = self.door_callers.min((sockets.saturating_sub(32) / 16).max(2));
+        self.set_aside = aside::ROUTER + aside::DOOR + self.door_callers;
+        (self.client_connections, self.link_connections) = share(sockets, self.set_aside);
+    }
+
     /// What a new watch may take to come up and bring its first line, however slow the agent: nothing closes it before
     /// for want of room, and whatever was opened while the agent answers has been heard by then.
     pub fn watch_chance(&self) -> Duration {
--- a/settings/src/start.rs
+++ b/settings/src/start.rs
@@ -127,14 +127,18 @@
     let micros = |m: i64| Duration::from_micros(m.max(0) as u64);
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let keepalive = Duration::from_secs_f64((keepalive / 1000.0).clamp(0.1, 86_400.0));
-    let limits =
+    let mut limits =
         Limits::new(sockets, memory << 20, micros(settings.connect_timeout), keepalive, micros(longest));
     limits.check_watch().map_err(|e| Error::from(e).at("limits"))?;
+    let admin = admin(env, &v)?;
+    if admin.is_some() {
+        limits.open_door(sockets);
+    }
     Ok(Start {
         name: told(env, "BALANCER_NAME", &v, "name")?,
         listen: told(env, "BALANCER_LISTEN", &v, "listen")?,
         discovery: address("discovery", &told(env, "BALANCER_DISCOVERY", &v, "discovery")?)?,
-        admin: admin(env, &v)?,
+        admin,
         seed: seed(&v)?,
         known: v.get_mut("known").map(Value::take).unwrap_or_default(),
         settings,
--- a/settings/tests/limits.rs
+++ b/settings/tests/limits.rs
@@ -63,3 +63,25 @@
         assert!(crowded.to_string().contains("raise watch_most or watch_retry"), "{crowded}");
     }
 }
+
+#[test]
+fn clients_links_and_all_else_fit_into_the_descriptors_from_the_least_on() {
+    let long = Duration::from_secs(20);
+    for sockets in 64..=4096 {
+        let mut limits = Limits::new(sockets, 192 << 20, long, long, long);
+        let all = |l: &Limits| l.client_connections + l.link_connections + l.set_aside;
+        assert!(all(&limits) <= sockets, "{sockets}: {} are handed out", all(&limits));
+        let (without, callers) = (limits.set_aside, limits.door_callers);
+        limits.open_door(sockets);
+        assert!(all(&limits) <= sockets, "{sockets} with a door: {} are handed out", all(&limits));
+        assert!(limits.set_aside >= without + limits.door_callers && limits.door_callers <= callers);
+        assert!(limits.client_connections >= 9 && limits.link_connections >= 3, "{sockets}: {limits:?}");
+    }
+}
+
+#[test]
+fn the_watch_has_descriptors_for_all_that_it_may_open() {
+    let limits = limits();
+    // Those that wait, a silent one and a former one, each a second time while it is being closed.
+    assert!(limits.set_aside > 2 * (limits.watch_most + 2) + 3 + 2 + 2);
+}
