--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -1,5 +1,6 @@
 //! Every size, count and time that bounds the program, in one type that is filled at start and handed down.
 use std::time::Duration;
+use thiserror::Error;
 
 /// The bounds of one router.
 #[derive(Clone, Debug, PartialEq)]
@@ -64,6 +65,8 @@
     pub client_connections: usize,
     /// Connections that may be open to all instances together.
     pub link_connections: usize,
+    /// Descriptors that are neither clients' nor links': so many may be open beside all of these.
+    pub set_aside: usize,
     /// Connections that may be open to one instance.
     pub links_per_peer: usize,
     /// Requests that one client connection may have written ahead of its answers.
@@ -159,14 +162,108 @@
     pub watch_former: Duration,
     /// Connections of the watch that may wait for their first line at a time.
     pub watch_most: usize,
+    /// The eldest of them gives way to others once it has waited this long.
+    pub watch_patience: Duration,
+    /// What discovery has counts as told this long after it could be reached, or after its watch fell silent.
+    pub watch_told: Duration,
+    /// So much of that is left for a busy processor, and for the way from the watch to the module.
+    pub watch_margin: Duration,
 }
 
+/// Why the bounds of discovery's watch don't go together.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum WatchError {
+    /// News may come too late.
+    #[error(
+        "a change would be heard {sum:?} after discovery has it, later than {told:?} less the margin of {margin:?}: shorten watch_silent, watch_retry, watch_connect or watch_answer"
+    )]
+    Late {
+        /// The longest it may take.
+        sum: Duration,
+        /// When it counts as told.
+        told: Duration,
+        /// What has to be left of that.
+        margin: Duration,
+    },
+    /// News of another address may come too late.
+    #[error(
+        "after a move a change would be heard after {sum:?}, later than watch_former ({former:?}) less the margin of {margin:?}: shorten watch_retry, watch_connect or watch_answer"
+    )]
+    Moved {
+        /// The longest it may take.
+        sum: Duration,
+        /// When the new address counts as told.
+        former: Duration,
+        /// What has to be left of that.
+        margin: Duration,
+    },
+    /// Discovery says an empty line each so often, which must not look like silence.
+    #[error(
+        "watch_silent is {silent:?}, expected more than {pause:?}, in which discovery may have nothing to say"
+    )]
+    Hasty {
+        /// When a watch counts as silent.
+        silent: Duration,
+        /// How long one that is not may say nothing.
+        pause: Duration,
+    },
+    /// A new watch would be closed for others before it can speak.
+    #[error(
+        "a new watch would give way to others after {after:?}, before watch_connect and watch_answer ({chance:?}) are over: raise watch_most or watch_retry"
+    )]
+    Crowded {
+        /// When it may have to give way.
+        after: Duration,
+        /// What it needs.
+        chance: Duration,
+    },
+}
+
+/// Discovery says an empty line this often where it has no news.
+const EMPTY_LINE: Duration = Duration::from_secs(2);
+
 /// After SIGTERM, the front learns for this long that the router is going.
 const GRACE: Duration = Duration::from_millis(600);
 /// Behind it, connections are let go as they fall quiet for this long at least, before any is ended over what its client
 /// may have asked.
 const QUIET: Duration = Duration::from_millis(50);
 
+/// What may be open beside the connections of clients and to instances, all at the same moment.
+mod aside {
+    const STREAMS: usize = 3;
+    /// Its accepting thread has a handle of its own.
+    const LISTENER: usize = 2;
+    /// A client that is accepted waits here for its room.
+    const NEWCOMER: usize = 1;
+    /// What tells of clients that leave.
+    const POLL: usize = 1;
+    const SIGNALS: usize = 2;
+    /// The configuration, while SIGHUP has it read.
+    const FILE: usize = 1;
+    /// Wakes the accepting thread at the end.
+    const WAKE: usize = 1;
+    /// Connections of the watch that wait for their first line.
+    pub const WATCHES: usize = 6;
+    /// Beside those that wait: one that fell silent, and after a move the old address's. Each may have been closed
+    /// and its reader not be gone yet while another stands in its place.
+    const WATCH: usize = 2 * (WATCHES + 2);
+    /// Clients and links that count no more, whose last handle a thread is about to drop.
+    const ENDING: usize = 6;
+    /// What the system's libraries open in passing.
+    const PASSING: usize = 7;
+    pub const ROUTER: usize =
+        STREAMS + LISTENER + NEWCOMER + POLL + SIGNALS + FILE + WAKE + WATCH + ENDING + PASSING;
+    /// With the operators' door: its listener and poll, a caller over the bound, and of what is held by hand the kept
+    /// file, its lock, the next one, the folder, this process's mark and another's.
+    pub const DOOR: usize = 3 + 6;
+}
+
+/// What clients and links get of so many descriptors.
+fn share(sockets: usize, aside: usize) -> (usize, usize) {
+    let free = sockets.saturating_sub(aside).max(12);
+    (free * 3 / 4, free / 4)
+}
+
 impl Limits {
     /// The bounds for a process that may hold `sockets` descriptors and `memory` bytes and whose instances close a connection
     /// left idle for `keepalive`.
@@ -177,8 +274,8 @@
         keepalive: Duration,
         longest_deadline: Duration,
     ) -> Self {
-        // Standard streams, the listener, the watch, the signal pipe and some slack are not ours to hand out.
-        let free = sockets.saturating_sub(40).max(16);
+        let set_aside = aside::ROUTER;
+        let (client_connections, link_connections) = share(sockets, set_aside);
         let most = longest_deadline.max(Duration::from_secs(3)) + GRACE + QUIET;
         Limits {
             stack_bytes: 96 * 1024,
@@ -209,9 +306,11 @@
             session_silent: Duration::from_secs(5),
             session_compact_bytes: 8 << 20,
             session_disk_retry: Duration::from_secs(1),
-            list_bytes: 4 << 20,
-            client_connections: free * 3 / 4,
-            link_connections: free / 4,
+            // Each connection of the watch may hold one in part, and the driver some more.
+            list_bytes: (memory / 32).min(4 << 20),
+            client_connections,
+            link_connections,
+            set_aside,
             links_per_peer: 64,
             pipelined: 64,
             mailbox: 4096,
@@ -258,7 +357,60 @@
             watch_retry: (Duration::from_millis(250), Duration::from_secs(1)),
             watch_former: Duration::from_secs(4),
             // One each 600 ms: the first to come has its empty line after 2 s before it would have to give way.
-            watch_most: 6,
+            watch_most: aside::WATCHES,
+            watch_patience: Duration::from_secs(10),
+            watch_told: Duration::from_secs(6),
+            watch_margin: Duration::from_secs(1),
+        }
+    }
+
+    /// Takes what the operators' door needs out of what clients and links share; of few descriptors it gets fewer callers.
+    pub fn open_door(&mut self, sockets: usize) {
+        self.door_callers = self.door_callers.min((sockets.saturating_sub(32) / 16).max(2));
+        self.set_aside = aside::ROUTER + aside::DOOR + self.door_callers;
+        (self.client_connections, self.link_connections) = share(sockets, self.set_aside);
+    }
+
+    /// What a new watch may take to come up and bring its first line, however slow the agent: nothing closes it before
+    /// for want of room, and whatever was opened while the agent answers has been heard by then.
+    pub fn watch_chance(&self) -> Duration {
+        self.watch_connect + self.watch_answer
+    }
+
+    /// The longest from discovery having a change, and answering new connections, to the list's actor having it.
+    ///
+    /// A watch that nobody knows to be silent takes `watch_silent` to be found so. Then a connection is opened at once,
+    /// or, where one was opened just before the agent answered again, after `watch_retry.1` at the latest, or
+    /// `watch_answer` where that one has its head. Which of the states that one is in (refused, not taken, mute, a
+    /// head, half a line, reset) changes nothing: none holds up the next opening. It comes up within `watch_connect`
+    /// and brings its first line, with the change, within `watch_answer`.
+    pub fn worst_silence(&self) -> Duration {
+        self.watch_silent + self.watch_retry.1.max(self.watch_answer) + self.watch_chance()
+    }
+
+    /// The same after a move to an address that answers: the watch's last opening may have been just before.
+    pub fn worst_move(&self) -> Duration {
+        self.watch_retry.0 + self.watch_chance()
+    }
+
+    /// Whether the bounds of discovery's watch go together: the one place that holds them below what counts as told.
+    ///
+    /// # Errors
+    /// Where they don't, what to change.
+    pub fn check_watch(&self) -> Result<(), WatchError> {
+        let (told, margin) = (self.watch_told, self.watch_margin);
+        let (silence, moved, former) = (self.worst_silence(), self.worst_move(), self.watch_former);
+        let chance = self.watch_chance();
+        // The one before it is opened this long before it; the eldest does not give way for it.
+        let after = self.watch_retry.0 * self.watch_most.saturating_sub(1).min(1 << 20) as u32;
+        match () {
+            () if silence + margin > told => Err(WatchError::Late { sum: silence, told, margin }),
+            () if moved + margin > former => Err(WatchError::Moved { sum: moved, former, margin }),
+            () if self.watch_silent <= EMPTY_LINE => {
+                Err(WatchError::Hasty { silent: self.watch_silent, pause: EMPTY_LINE })
+            }
+            () if after < chance => Err(WatchError::Crowded { after, chance }),
+            () => Ok(()),
         }
     }
 }
