--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -240,7 +240,8 @@
             drain_last: Duration::from_millis(1500),
             client_greeted: Duration::from_millis(300),
             client_linger: Duration::from_millis(300),
-            client_linger_bytes: 1 << 20,
+            // More than its longest message; whoever dumps more than that costs no more time than that.
+            client_linger_bytes: 256 * 1024,
             door_callers: 32,
             door_line_bytes: 1024,
             door_patience: Duration::from_secs(10),
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
 use std::sync::mpsc::Receiver;
+use std::time::Instant;
 
 /// A router with one instance, a primary.
 struct Site {
@@ -293,7 +294,7 @@
 }
 
 #[test]
-fn an_end_finds_a_way_where_every_descriptor_is_taken() {
+fn where_every_descriptor_is_taken_a_client_that_asks_finds_a_place_and_the_end_a_way() {
     let instance = Instance::start("primary", true);
     let (discovery, folder) = (Discovery::start(), Folder::new());
     let text = config(discovery.addr, vec![instance.0.entry("in_service")]).to_string();
@@ -304,7 +305,11 @@
     let mut router = Program::shell(&line);
     let addr = router.listening();
     let idle: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(addr).unwrap()).collect();
+    let begun = Instant::now();
     router.logged("cannot accept");
+    // Those that say nothing give way long before their time is up.
+    assert_eq!(Client::connect(addr).ask(""), Answer::Empty);
+    assert!(begun.elapsed().as_millis() < 1500, "{:?}", begun.elapsed());
     router.terminate();
     router.logged("shutdown: taking requests");
     router.logged("shutdown: ended");
