--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -176,7 +176,7 @@
     ) -> Self {
         // Standard streams, the listener, the watch, the signal pipe and some slack are not ours to hand out.
         let free = sockets.saturating_sub(40).max(16);
-        let most = longest_deadline.max(Duration::from_secs(3)) + GRACE + QUIET;
+        let most = longest_deadline.max(Duration::from_secs(3)) + GRACE;
         Limits {
             stack_bytes: 96 * 1024,
             // A value of 64 KiB stands in a statement as hexadecimal digits.
@@ -234,8 +234,8 @@
             module_stack_bytes: 512 * 1024,
             shutdown_grace: GRACE,
             // What is read last has its whole time before the end.
-            shutdown_last: (GRACE + Duration::from_millis(250)).min(most - longest_deadline),
-            shutdown_most: most,
+            shutdown_last: (GRACE + Duration::from_millis(250)).min(most + QUIET - longest_deadline),
+            shutdown_most: most + QUIET,
             drain_quiet: Duration::from_millis(500),
             drain_last: Duration::from_millis(1500),
             client_greeted: Duration::from_millis(300),
