--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -276,7 +276,7 @@
     ) -> Self {
         let set_aside = aside::ROUTER;
         let (client_connections, link_connections) = share(sockets, set_aside);
-        let most = longest_deadline.max(Duration::from_secs(3)) + GRACE + QUIET;
+        let most = longest_deadline.max(Duration::from_secs(3)) + GRACE;
         Limits {
             stack_bytes: 96 * 1024,
             // A value of 64 KiB stands in a statement as hexadecimal digits.
@@ -337,13 +337,14 @@
             module_stack_bytes: 512 * 1024,
             shutdown_grace: GRACE,
             // What is read last has its whole time before the end.
-            shutdown_last: (GRACE + Duration::from_millis(250)).min(most - longest_deadline),
-            shutdown_most: most,
+            shutdown_last: (GRACE + Duration::from_millis(250)).min(most + QUIET - longest_deadline),
+            shutdown_most: most + QUIET,
             drain_quiet: Duration::from_millis(500),
             drain_last: Duration::from_millis(1500),
             client_greeted: Duration::from_millis(300),
             client_linger: Duration::from_millis(300),
-            client_linger_bytes: 1 << 20,
+            // More than its longest message; whoever dumps more than that costs no more time than that.
+            client_linger_bytes: 256 * 1024,
             door_callers: 32,
             door_line_bytes: 1024,
             door_patience: Duration::from_secs(10),
