Take no request that is read after its client's end, whoever notices that first

Cause: where a process wakes late (a busy or stopped machine), a request and its client's end lie in the socket together. The reader then races the thread that watches for the end, and a request whose client had long left could be handed over and begin before the notice took it back. Ruled out: peek (the bytes before the end hide it); waiting for the watch (a thread's turn has no bound). Change: Connection::submit asks the socket itself with poll for POLLRDHUP, without waiting, right before a request is handed over: one system call more for each. Both fronts hand over by it.

--- a/clients/src/departures.rs
+++ b/clients/src/departures.rs
@@ -5,8 +5,10 @@
 //! A client that closes and one that only ends its sending can't be told apart: both have left.
 use crate::Connection;
 use nix::errno::Errno;
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use nix::sys::epoll::{Epoll, EpollCreateFlags, EpollEvent, EpollFlags, EpollTimeout};
 use routing::RequestId;
+use std::os::fd::AsFd;
 use std::sync::{Mutex, MutexGuard};
 
 /// The requests of a connection that have no answer yet, oldest first, and whether its client has left. Both under one lock: a
@@ -64,6 +66,14 @@
 }
 
 impl Connection {
+    /// Hands a request over, unless the client has left. The end may have come before this thread got to read what
+    /// stands before it, and before any other got to say so: the socket itself is looked at.
+    pub fn submit(&self, submit: impl FnOnce() -> RequestId) -> Option<RequestId> {
+        let ends = PollFlags::from_bits_retain(libc::POLLRDHUP);
+        let ended = poll(&mut [PollFd::new(self.socket.as_fd(), ends)], PollTimeout::ZERO);
+        if ended.is_ok_and(|n| n > 0) { None } else { self.requests.begin(submit) }
+    }
+
     /// Its client has left, or takes no more: what it waits for is given up, and nothing more is taken of it.
     pub fn depart(&self, left: impl FnMut(RequestId)) {
         if let Some(requests) = self.requests.depart(left) {
--- a/mysql/src/front.rs
+++ b/mysql/src/front.rs
@@ -378,7 +378,7 @@
         let (answer, given) = bounded(1);
         let incoming = Incoming { class, tenant, session: None, group, deadline, token, payload, answer };
         // Nobody reads what a client is answered that has left meanwhile.
-        let request = self.connection.requests.begin(|| self.front.handle.submit(incoming));
+        let request = self.connection.submit(|| self.front.handle.submit(incoming));
         let answer = given.recv().unwrap_or(Final::Failed(None));
         request.into_iter().for_each(|id| _ = self.connection.requests.end(id));
         // A write is told to the client once no read of its session can miss it any more.
--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -401,7 +401,7 @@
             payload: statement,
             answer,
         };
-        opened.request = opened.connection.requests.begin(|| self.handle.submit(incoming));
+        opened.request = opened.connection.submit(|| self.handle.submit(incoming));
         match opened.request {
             Some(_) => Ok((given, opened)),
             None => Err(Unsubmitted::Departed),
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -2,7 +2,7 @@
 //! has noticed is read off its log, line by line; nothing waits by sleeping.
 mod common;
 use common::front::*;
-use common::{Discovery, Folder, LONG, Program, take};
+use common::{Discovery, Folder, LONG, Program, Signal, take};
 use serde_json::{Value, json};
 use socket2::SockRef;
 use std::io::{Read, Write};
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A router whose list is told by the test.
 struct Site {
@@ -79,6 +79,13 @@
     }
 }
 
+/// Whether each of its threads stands still.
+fn stopped(router: &Program) -> bool {
+    let tasks = std::fs::read_dir(format!("/proc/{}/task", router.child.id())).unwrap();
+    let state = |t: std::fs::DirEntry| std::fs::read_to_string(t.path().join("stat")).unwrap_or_default();
+    tasks.flatten().map(state).all(|s| s.rsplit(") ").next().is_some_and(|s| s.starts_with('T')))
+}
+
 /// Resets the connection instead of ending it.
 fn reset(client: Client) {
     SockRef::from(&client.0).set_linger(Some(Duration::ZERO)).unwrap();
@@ -155,6 +162,33 @@
     assert!(ran.iter().all(|s| s.contains("id=other,")), "{ran:?}");
 }
 
+#[test]
+fn a_request_that_is_read_after_its_clients_end_is_not_taken() {
+    let mut site = Site::start(vec![]);
+    const CLIENTS: usize = 20;
+    let clients: Vec<Client> = (0..CLIENTS).map(|_| Client::connect(site.addr)).collect();
+    // While the process stands still, requests and ends come together.
+    site.router.signal(Signal::SIGSTOP);
+    while !stopped(&site.router) {
+        std::thread::yield_now();
+    }
+    for (n, client) in clients.into_iter().enumerate() {
+        client.write(&insert(&format!("w{n}"), 7900));
+    }
+    site.router.signal(Signal::SIGCONT);
+    let begun = Instant::now();
+    let left = loop {
+        let left: Vec<String> =
+            site.router.so_far().iter().filter(|l| l.contains(" has left ")).cloned().collect();
+        if left.len() == CLIENTS {
+            break left;
+        }
+        assert!(begun.elapsed() < LONG, "{left:?}");
+        std::thread::yield_now();
+    };
+    assert!(left.iter().all(|l| l.ends_with(" has left 0 requests")), "{left:?}");
+}
+
 #[test]
 fn a_client_that_leaves_after_a_command_that_cannot_be_read_is_noticed() {
     // Its reader reads no more: it waits until what is owed has been written.
