--- a/clients/tests/connections.rs
+++ b/clients/tests/connections.rs
@@ -2,6 +2,7 @@
 //! what it was answered arrives whole.
 use clients::{Clients, Connection, Listening, Order, Standing, Talk};
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use routing::RequestId;
 use routing::wire::peek;
 use settings::Limits;
 use socket2::SockRef;
@@ -29,6 +30,10 @@
     fn talk(self: &Arc<Self>, connection: &Arc<Connection>) {
         (self.0)(connection);
     }
+
+    fn left(&self, request: RequestId) {
+        panic!("{request:?}: this front hands none over");
+    }
 }
 
 fn limits() -> Limits {
