Refuse settings that would be cut, run over or confused, each by its key

Need: nothing of one customer's settings may be held for another's, and faulty settings get a clear error. Seen by reading: counts beyond 32 bits were cut (a 'mostTries' of 2^32 gave every request up), times below 0 or beyond the clock wrapped in sums, two classes of one name were taken for the later one, a class's name with a line break wrote lines of its own into the figures, a keep-alive below 0.1 s was taken for 0.1 s, so that links the instance had closed were used unasked, an own zone that the list does not name had the number of the first unknown one, and the answer across a rested link was waited for 40 ms whatever a connection may take. Ruled out: refusing deadlines or rounds of 0, no classes, or a zone beyond the list, which harm nobody. Change: spans, moments, counts and amounts are checked as they are read; a link is trusted for half of any keep-alive; its check takes 4/25 of the time to connect, 40 ms at least (as before at 250 ms). Tests: settings/tests/customers.rs (proptest: any names, numbers, orders, any value in any place) and faults.rs. In faults.rs the second class got a name of its own, as two of one are refused now.

--- a/settings/src/fields.rs
+++ b/settings/src/fields.rs
@@ -3,6 +3,13 @@
 use decision::Micros;
 use serde_json::Value;
 
+/// Longest time that a figure may stand for, three years in milliseconds: small multiples of it, added to the present,
+/// stay far from the end of the clock.
+const LONGEST_MS: f64 = 1e11;
+
+/// Farthest moment from a clock's zero, three thousand years in milliseconds.
+const FARTHEST_MS: f64 = 1e14;
+
 /// A field, or an error that names what is missing.
 pub fn field<'a>(v: &'a Value, name: &str) -> Result<&'a Value, Error> {
     match v.get(name) {
@@ -38,6 +45,36 @@
     }
 }
 
+/// A whole number of 32 bits: what it counts or names must not become something else by being cut.
+pub fn count(v: &Value, name: &str) -> Result<u32, Error> {
+    let x = whole(v, name)?;
+    u32::try_from(x).map_err(|_| Error::value(name, "at most 4294967295", x))
+}
+
+/// A number that is none below 0.
+pub fn amount(v: &Value, name: &str) -> Result<f64, Error> {
+    let x = number(v, name)?;
+    if x >= 0.0 { Ok(x) } else { Err(Error::value(name, "a number not below 0", x)) }
+}
+
+/// A length of time, given in milliseconds.
+pub fn span(v: &Value, name: &str) -> Result<Micros, Error> {
+    let ms = number(v, name)?;
+    if (0.0..=LONGEST_MS).contains(&ms) {
+        return Ok(micros(ms));
+    }
+    Err(Error::value(name, format!("0 to {LONGEST_MS} milliseconds"), ms))
+}
+
+/// A moment on a clock, given in milliseconds.
+pub fn moment(v: &Value, name: &str) -> Result<Micros, Error> {
+    let ms = number(v, name)?;
+    if ms.abs() <= FARTHEST_MS {
+        return Ok(micros(ms));
+    }
+    Err(Error::value(name, format!("at most {FARTHEST_MS} milliseconds from 0"), ms))
+}
+
 pub fn micros(ms: f64) -> Micros {
     (ms * 1000.0).round() as Micros
 }
--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -209,9 +209,11 @@
             mailbox: 4096,
             connect,
             probe: connect,
-            link_idle: keepalive.mul_f64(0.5),
+            // Looked at each quarter of it; one that closes sooner is asked across each time, by `link_trust`.
+            link_idle: keepalive.mul_f64(0.5).max(Duration::from_millis(50)),
             link_trust: keepalive.mul_f64(0.5).min(Duration::from_millis(1500)),
-            link_check: Duration::from_millis(40),
+            // Of the trips that a connection takes to come up in its time, this is one.
+            link_check: (connect * 4 / 25).max(Duration::from_millis(40)),
             client_start: Duration::from_millis(1500),
             client_start_least: Duration::from_millis(100),
             client_first: Duration::from_millis(2200),
--- a/settings/src/platform.rs
+++ b/settings/src/platform.rs
@@ -1,8 +1,8 @@
 //! Reads the settings object of a start message. Keys that are not named here are skipped.
 use crate::error::Error;
-use crate::fields::{array, field, flag, micros, number, text, whole};
+use crate::fields::{amount, array, count, field, flag, moment, span, text};
 use decision::{Class, Effect, Freshness, Micros, Settings, Tokens, WhenBehind};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 /// What the adapter itself needs to translate notes and reports.
 #[derive(Clone, Debug)]
@@ -15,8 +15,19 @@
     pub tenants: usize,
 }
 
-fn class(c: &Value, need: &Value, bound: Option<&Value>) -> Result<Class, Error> {
-    let window = || number(c, "repeatWindowMs").map(micros);
+/// The age that a class bears of the data it reads.
+fn age(bounds: &Value, at: usize) -> Result<Micros, Error> {
+    const KEY: &str = "oldestDataMs";
+    let bound = bounds.get(at).filter(|b| b.is_number());
+    let missing = || {
+        let found = bounds.get(at).unwrap_or(&Value::Null);
+        Error::value(KEY, "a bound for each lag_bound class", found)
+    };
+    span(&json!({ KEY: bound.ok_or_else(missing)? }), KEY)
+}
+
+fn class(c: &Value, need: &Value, bounds: &Value, at: usize) -> Result<Class, Error> {
+    let window = || span(c, "repeatWindowMs");
     let effect = match text(c, "semantics")? {
         "read_like" => Effect::Safe,
         "non_idempotent" => Effect::Unsafe,
@@ -36,18 +47,16 @@
         Some("strong") => Freshness::Fresh,
         Some("causal") => Freshness::Session,
         Some("eventual") => Freshness::Any,
-        Some("lag_bound") => Freshness::Bounded(micros(bound.and_then(Value::as_f64).ok_or_else(|| {
-            Error::value("oldestDataMs", "a bound for each lag_bound class", bound.unwrap_or(&Value::Null))
-        })?)),
+        Some("lag_bound") => Freshness::Bounded(age(bounds, at)?),
         _ => return Err(Error::value("freshness", "mutate, strong, causal, eventual or lag_bound", need)),
     };
     Ok(Class {
         freshness,
         effect,
-        aim: micros(number(c, "objectiveMs")?),
-        deadline: micros(number(c, "deadlineMs")?),
-        worth: number(c, "worth")?,
-        late_worth: number(c, "lateWorth")?,
+        aim: span(c, "objectiveMs")?,
+        deadline: span(c, "deadlineMs")?,
+        worth: amount(c, "worth")?,
+        late_worth: amount(c, "lateWorth")?,
     })
 }
 
@@ -60,7 +69,7 @@
 pub fn read(v: &Value) -> Result<(Settings, Translation), Error> {
     let (extra, limits, rules) = (field(v, "extra")?, field(v, "limits")?, field(v, "contract")?);
     let needs = array(extra, "freshness").map_err(under("extra"))?;
-    let bounds = extra.get("oldestDataMs").and_then(Value::as_array);
+    let bounds = extra.get("oldestDataMs").unwrap_or(&Value::Null);
     let listed = array(v, "classes")?;
     if needs.len() != listed.len() {
         let expected = format!("one word for each of {} classes", listed.len());
@@ -70,14 +79,12 @@
         .iter()
         .zip(needs)
         .enumerate()
-        .map(|(i, (c, need))| {
-            class(c, need, bounds.and_then(|b| b.get(i))).map_err(|e| e.at(format!("classes[{i}]")))
-        })
+        .map(|(i, (c, need))| class(c, need, bounds, i).map_err(|e| e.at(format!("classes[{i}]"))))
         .collect::<Result<Vec<_>, _>>()?;
     let when_behind = match text(extra, "whenBehind").map_err(under("extra"))? {
         "silent" => WhenBehind::Answers,
         "bounce" => WhenBehind::Bounces,
-        "await" => WhenBehind::Waits(micros(number(extra, "patienceMs").map_err(under("extra"))?)),
+        "await" => WhenBehind::Waits(span(extra, "patienceMs").map_err(under("extra"))?),
         x => {
             return Err(
                 Error::value("whenBehind", "silent, bounce or await", format_args!("'{x}'")).at("extra")
@@ -92,13 +99,13 @@
     let tenants = match v.get("tenants") {
         Some(Value::Array(a)) => a
             .iter()
-            .map(|t| number(t, "quotaRps"))
+            .map(|t| amount(t, "quotaRps"))
             .collect::<Result<Vec<_>, _>>()
             .map_err(under("tenants"))?,
         _ => Vec::new(),
     };
     let translation = Translation {
-        zero: micros(number(extra, "positionZeroMs").map_err(under("extra"))?),
+        zero: moment(extra, "positionZeroMs").map_err(under("extra"))?,
         writes: classes.iter().map(|c| c.freshness == Freshness::Write).collect(),
         tenants: tenants.len(),
     };
@@ -107,27 +114,27 @@
         classes,
         tenant_rates: tenants,
         over_share_worth: v.get("overShareWorth").and_then(Value::as_f64).unwrap_or(1.0),
-        drivers: whole(v, "replicasOfMe")?.max(1) as u32,
-        zone: whole(v, "zone")? as u32,
-        round: micros(number(v, "roundMs")?),
+        drivers: count(v, "replicasOfMe")?.max(1),
+        zone: count(v, "zone")?,
+        round: span(v, "roundMs")?,
         when_behind,
         tokens,
         may_duplicate: flag(limits, "mayDuplicate").map_err(under("limits"))?,
-        max_attempts: whole(limits, "mostTries").map_err(under("limits"))? as u32,
+        max_attempts: count(limits, "mostTries").map_err(under("limits"))?,
         may_cancel: flag(limits, "cancel").map_err(under("limits"))?,
         may_probe: flag(limits, "probes").map_err(under("limits"))?,
         probe_price: v.get("prices").and_then(|p| p.get("probe")).and_then(Value::as_f64).unwrap_or(0.0),
         max_come_back: come_back
-            .then(|| number(limits, "maxRetryAfterMs").map(micros))
+            .then(|| span(limits, "maxRetryAfterMs"))
             .transpose()
             .map_err(under("limits"))?,
-        connect_timeout: micros(number(limits, "dialTimeoutMs").map_err(under("limits"))?),
-        drain_grace: micros(number(rules, "drainGraceMs").map_err(under("contract"))?),
+        connect_timeout: span(limits, "dialTimeoutMs").map_err(under("limits"))?,
+        drain_grace: span(rules, "drainGraceMs").map_err(under("contract"))?,
         only_draining_binds: flag(rules, "drainBindsAlone").map_err(under("contract"))?,
-        cold_from: number(rules, "coldFrom").map_err(under("contract"))?,
-        cold_time: micros(number(rules, "coldMs").map_err(under("contract"))?),
-        overload_factor: number(rules, "overloadFactor").map_err(under("contract"))?,
-        tip_time: micros(number(rules, "tipAfterMs").map_err(under("contract"))?),
+        cold_from: amount(rules, "coldFrom").map_err(under("contract"))?,
+        cold_time: span(rules, "coldMs").map_err(under("contract"))?,
+        overload_factor: amount(rules, "overloadFactor").map_err(under("contract"))?,
+        tip_time: span(rules, "tipAfterMs").map_err(under("contract"))?,
         list_on_request: text(v, "membershipMode")? == "subscribe",
     };
     Ok((settings, translation))
--- a/settings/src/start.rs
+++ b/settings/src/start.rs
@@ -1,6 +1,6 @@
 //! What the platform tells a router at its start: `$BALANCER_CONFIG` and the variables beside it.
 use crate::error::{Error, shape};
-use crate::fields::{array, field, number, text, whole};
+use crate::fields::{array, count, field, span, text, whole};
 use crate::limits::Limits;
 use crate::platform;
 use decision::Settings;
@@ -102,21 +102,52 @@
     array(v, key)?.iter().map(word).collect()
 }
 
+/// The classes' names: each stands for one class, since a request names it by nothing else, and on one line of the
+/// operators' figures.
+fn classes(settings: &Value) -> Result<Vec<String>, Error> {
+    let name = |c: &Value| text(c, "name").map(str::to_string);
+    let names = array(settings, "classes")?.iter().map(name).collect::<Result<Vec<_>, _>>();
+    let names = names.map_err(|e| e.at("classes"))?;
+    if let Some(i) = names.iter().position(|n| n.contains(char::is_control)) {
+        let found = format!("{:?}", names[i]);
+        return Err(Error::value("name", "no control characters", found).at(format!("classes[{i}]")));
+    }
+    let again = (1..names.len()).find(|i| names[..*i].contains(&names[*i]));
+    if let Some(i) = again {
+        let found = format!("'{}' a second time", names[i]);
+        return Err(Error::value("name", "a name that no other class has", found).at(format!("classes[{i}]")));
+    }
+    Ok(names)
+}
+
+/// How long a connection to an instance may rest; beside it stands what an instance can't be asked without.
+fn keepalive(limits: &Value, settings: &Settings) -> Result<i64, Error> {
+    if settings.connect_timeout == 0 {
+        return Err(Error::value("dialTimeoutMs", "more than 0", 0));
+    }
+    if settings.max_attempts == 0 {
+        return Err(Error::value("mostTries", "more than 0", 0));
+    }
+    span(limits, "keepaliveMs")
+}
+
 /// Reads the config's text; `env` looks up a variable.
 pub fn read(config: &str, env: &dyn Fn(&str) -> Option<String>) -> Result<Start, Error> {
     let mut v: Value = serde_json::from_str(config)?;
     let inner = field(&v, "settings")?;
-    let (settings, _) = platform::read(inner).map_err(|e| e.at("settings"))?;
-    let class = |c: &Value| text(c, "name").map(str::to_string);
-    let classes = array(inner, "classes")?.iter().map(class).collect::<Result<_, _>>();
+    let (mut settings, _) = platform::read(inner).map_err(|e| e.at("settings"))?;
     let names = Names {
-        classes: classes.map_err(|e: Error| e.at("classes").at("settings"))?,
+        classes: classes(inner).map_err(|e| e.at("settings"))?,
         zones: words(inner, "failureDomains").map_err(|e| e.at("settings"))?,
     };
+    // Zones of the list that have no name here are numbered behind those that have: this router stands in none of them.
+    if settings.zone as usize >= names.zones.len() {
+        settings.zone = u32::MAX;
+    }
     let bounds = field(inner, "limits").map_err(|e| e.at("settings"))?;
-    let keepalive = number(bounds, "keepaliveMs").map_err(|e| e.at("limits").at("settings"))?;
+    let keepalive = keepalive(bounds, &settings).map_err(|e| e.at("limits").at("settings"))?;
     let given = field(&v, "limits")?;
-    let sockets = whole(given, "sockets").map_err(|e| e.at("limits"))? as usize;
+    let sockets = count(given, "sockets").map_err(|e| e.at("limits"))? as usize;
     if sockets < 64 {
         return Err(Error::value("sockets", "at least 64", sockets).at("limits"));
     }
@@ -126,7 +157,7 @@
     }
     let micros = |m: i64| Duration::from_micros(m.max(0) as u64);
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let keepalive = Duration::from_secs_f64((keepalive / 1000.0).clamp(0.1, 86_400.0));
+    let keepalive = micros(keepalive).min(Duration::from_secs(86_400));
     let limits =
         Limits::new(sockets, memory << 20, micros(settings.connect_timeout), keepalive, micros(longest));
     Ok(Start {
--- /dev/null
+++ b/settings/tests/customers.rs
@@ -0,0 +1,201 @@
+//! Settings of customers that nobody has met: any number of classes and zones, of any name and in any order, and any
+//! value in any place.
+use decision::{Effect, Freshness};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use settings::Error;
+use settings::start::{Start, read};
+use std::time::Duration;
+
+/// A class, and its word and bound in the lists beside the classes.
+fn class(name: String, at: u64) -> (Value, Value, Value) {
+    let words = ["mutate", "strong", "causal", "lag_bound", "eventual"];
+    let effects = ["read_like", "non_idempotent", "idempotency_key"];
+    let groups = ["cell", "all", "zone"];
+    let class = json!({"name": name, "semantics": effects[at as usize % 3], "group": groups[at as usize / 3 % 3],
+        "repeatWindowMs": 10 * at, "deadlineMs": 20 + at, "objectiveMs": 10 + at % 7, "worth": 1 + at % 5,
+        "lateWorth": (at % 3) as f64 / 2.0});
+    (class, json!(words[at as usize % 5]), json!(100 + at))
+}
+
+/// A configuration with these classes.
+fn config(classes: &[(Value, Value, Value)], zones: &[String], zone: u32) -> Value {
+    let column =
+        |at: fn(&(Value, Value, Value)) -> &Value| Value::Array(classes.iter().map(at).cloned().collect());
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f",
+        "known": {"version": 1, "full": true, "servers": []},
+        "limits": {"memory_mb": 192, "sockets": 256},
+        "settings": {"classes": column(|c| &c.0),
+            "extra": {"freshness": column(|c| &c.1), "oldestDataMs": column(|c| &c.2), "whenBehind": "await",
+                "patienceMs": 20.0, "positionZeroMs": 0.0, "writeMarks": "brought"},
+            "limits": {"dialTimeoutMs": 250.0, "keepaliveMs": 30000.0, "mostTries": 6, "retryAfter": true,
+                "maxRetryAfterMs": 500.0, "cancel": true, "probes": true, "mayDuplicate": true},
+            "contract": {"drainGraceMs": 250.0, "coldFrom": 0.15, "coldMs": 18000.0, "overloadFactor": 2.5,
+                "tipAfterMs": 1000.0},
+            "tenants": [{"name": "t", "quotaRps": 5.0, "share": 1.0}], "prices": {"probe": 0.03},
+            "failureDomains": zones, "membershipMode": "automatic", "replicasOfMe": 3, "roundMs": 5.0, "zone": zone}})
+}
+
+fn start(config: &Value) -> Result<Start, Error> {
+    read(&config.to_string(), &|_| None)
+}
+
+/// What is read of a class, but for its name.
+fn of(start: &Start, at: usize) -> String {
+    format!("{:?}", start.settings.classes[at])
+}
+
+/// Names that differ, of any characters.
+fn names(most: usize) -> impl Strategy<Value = Vec<String>> {
+    proptest::collection::btree_set("\\PC{0,9}", 0..most).prop_map(|s| s.into_iter().collect())
+}
+
+/// Every place in a value, as a JSON pointer.
+fn places(v: &Value, at: String, all: &mut Vec<String>) {
+    match v {
+        Value::Object(o) => o.iter().for_each(|(k, v)| places(v, format!("{at}/{k}"), all)),
+        Value::Array(a) => a.iter().enumerate().for_each(|(k, v)| places(v, format!("{at}/{k}"), all)),
+        _ => {}
+    }
+    all.push(at);
+}
+
+fn any_value() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        proptest::sample::select(vec![0.0, -1.0, 0.5, 1e-9, 4294967296.0, 1e15, 1e17, 1e300, -1e300])
+            .prop_map(Value::from),
+        "\\PC{0,9}".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(2, 8, 4, |inner| {
+        prop_oneof![
+            proptest::collection::vec(inner.clone(), 0..4).prop_map(Value::from),
+            proptest::collection::hash_map("[a-z]{0,4}", inner, 0..4)
+                .prop_map(|m| Value::from(m.into_iter().collect::<serde_json::Map<_, _>>())),
+        ]
+    })
+}
+
+proptest! {
+    #[test]
+    fn names_and_order_of_classes_change_nothing_of_what_is_read(
+        (names, others) in names(70).prop_flat_map(|n| {
+            let others = names(2 * n.len().max(1) + 70);
+            (Just(n), others)
+        }),
+        seed in any::<u64>(),
+        order in any::<u64>(),
+    ) {
+        let drawn = |name: &String, i: usize| class(name.clone(), seed.wrapping_add(i as u64 * 7919) % 100_000);
+        let listed: Vec<_> = names.iter().enumerate().map(|(i, n)| drawn(n, i)).collect();
+        let zones = vec!["a".to_string(), "b".to_string()];
+        let one = start(&config(&listed, &zones, 1)).unwrap();
+        prop_assert_eq!(&one.names.classes, &names);
+        // Other names.
+        let renamed: Vec<_> = names.iter().enumerate().map(|(i, _)| {
+            let name = others.get(i).cloned().unwrap_or_else(|| format!("class of place {i} that has no other name"));
+            drawn(&name, i)
+        }).collect();
+        let two = start(&config(&renamed, &zones, 1)).unwrap();
+        for i in 0..names.len() {
+            prop_assert_eq!(of(&one, i), of(&two, i));
+        }
+        // Another order.
+        let mut places: Vec<usize> = (0..names.len()).collect();
+        places.sort_by_key(|i| (*i as u64).wrapping_mul(order | 1).rotate_left(17));
+        let moved: Vec<_> = places.iter().map(|i| listed[*i].clone()).collect();
+        let three = start(&config(&moved, &zones, 1)).unwrap();
+        for (at, i) in places.iter().enumerate() {
+            prop_assert_eq!(of(&three, at), of(&one, *i));
+            prop_assert_eq!(&three.names.classes[at], &names[*i]);
+        }
+        // Bounds of the program that follow from the classes follow from all of them, wherever they stand.
+        prop_assert_eq!(&three.limits, &one.limits);
+        prop_assert_eq!(&two.limits, &one.limits);
+    }
+
+    #[test]
+    fn zones_are_names_alone_and_a_router_in_none_of_them_is_near_to_nobody(
+        zones in names(12),
+        zone in prop_oneof![0u32..14, any::<u32>()],
+    ) {
+        let listed = [class("only".into(), 4)];
+        let read = start(&config(&listed, &zones, zone)).unwrap();
+        prop_assert_eq!(&read.names.zones, &zones);
+        // Zones that the list names beyond these get the numbers behind them.
+        let own = if (zone as usize) < zones.len() { zone } else { u32::MAX };
+        prop_assert_eq!(read.settings.zone, own);
+    }
+
+    #[test]
+    fn any_value_in_any_place_is_read_or_refused_by_its_key(place in any::<prop::sample::Index>(), value in any_value()) {
+        let listed: Vec<_> = (0..4).map(|i| class(format!("class {i}"), i)).collect();
+        let good = config(&listed, &["a".into(), "b".into()], 0);
+        let mut all = Vec::new();
+        places(&good, String::new(), &mut all);
+        let place = place.get(&all);
+        let mut bad = good.clone();
+        *bad.pointer_mut(place).unwrap() = value;
+        match start(&bad) {
+            Ok(read) => {
+                // What was read can be reckoned with: no sum or small multiple of its times runs over.
+                let s = &read.settings;
+                let most = 1e14 as i64;
+                for c in &s.classes {
+                    let bound = match c.freshness { Freshness::Bounded(b) => b, _ => 0 };
+                    let window = match c.effect {
+                        Effect::KeyedInGroup(w) | Effect::KeyedEverywhere(w) | Effect::KeyedInZone(w) => w,
+                        Effect::Safe | Effect::Unsafe => 0,
+                    };
+                    for time in [c.aim, c.deadline, bound, window] {
+                        prop_assert!((0..=most).contains(&time));
+                    }
+                    prop_assert!(c.worth >= 0.0 && c.late_worth >= 0.0);
+                }
+                for time in [s.round, s.connect_timeout, s.drain_grace, s.cold_time, s.tip_time] {
+                    prop_assert!((0..=most).contains(&time));
+                }
+                prop_assert!(s.connect_timeout > 0 && s.max_attempts > 0 && s.drivers > 0);
+                prop_assert_eq!(read.names.classes.len(), s.classes.len());
+                prop_assert!(read.limits.client_connections > 0 && read.limits.link_connections > 0);
+                prop_assert!(read.limits.link_trust <= read.limits.link_idle);
+            }
+            Err(e) => {
+                // The innermost name of the place, or one that it holds or is held by, stands in the message.
+                let said = e.to_string();
+                let names = place.split('/').filter(|p| !p.is_empty() && p.parse::<usize>().is_err());
+                let named = names.clone().any(|name| said.contains(name));
+                prop_assert!(named || names.count() == 0, "{}: {}", place, said);
+            }
+        }
+    }
+}
+
+#[test]
+fn links_to_instances_are_trusted_no_longer_than_half_of_their_keep_alive_however_short() {
+    for keepalive_ms in [0, 1, 20, 99, 100, 3000, 30_000, 60_000] {
+        let mut c = config(&[class("only".into(), 4)], &["a".into()], 0);
+        c["settings"]["limits"]["keepaliveMs"] = json!(keepalive_ms);
+        let limits = start(&c).unwrap().limits;
+        assert!(
+            limits.link_trust <= Duration::from_millis(keepalive_ms) / 2,
+            "{keepalive_ms} ms: {limits:?}"
+        );
+        assert!(limits.link_idle >= Duration::from_millis(keepalive_ms) / 2);
+    }
+}
+
+#[test]
+fn what_asks_across_a_rested_link_is_waited_for_as_the_time_to_connect_allows() {
+    for (dial_ms, check_ms) in [(150, 40), (250, 40), (600, 96), (3000, 480)] {
+        let mut c = config(&[class("only".into(), 4)], &["a".into()], 0);
+        c["settings"]["limits"]["dialTimeoutMs"] = json!(dial_ms);
+        let limits = start(&c).unwrap().limits;
+        assert_eq!(limits.link_check, Duration::from_millis(check_ms), "{dial_ms} ms to connect");
+        assert_eq!(limits.connect, Duration::from_millis(dial_ms));
+    }
+}
--- a/settings/tests/faults.rs
+++ b/settings/tests/faults.rs
@@ -144,11 +144,13 @@
 }
 
 fn platform() -> Value {
-    let class = json!({"name": "read", "semantics": "read_like", "deadlineMs": 9.0, "objectiveMs": 5.0,
-        "worth": 1.0, "lateWorth": 0.5});
+    let class = |name: &str| {
+        json!({"name": name, "semantics": "read_like", "deadlineMs": 9.0, "objectiveMs": 5.0,
+        "worth": 1.0, "lateWorth": 0.5})
+    };
     json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f",
         "limits": {"memory_mb": 192, "sockets": 256},
-        "settings": {"classes": [class, class],
+        "settings": {"classes": [class("read"), class("write")],
             "extra": {"freshness": ["eventual", "mutate"], "whenBehind": "silent", "positionZeroMs": 0.0,
                 "writeMarks": "brought"},
             "limits": {"dialTimeoutMs": 250.0, "keepaliveMs": 30000.0, "mostTries": 6},
@@ -213,6 +215,77 @@
             json!(null),
             "settings: contract: expected the field 'coldMs', found none",
         ),
+        // What would be cut, turned round or never come to an end on the way.
+        (
+            "/settings/classes/1/deadlineMs",
+            json!(-5.0),
+            "settings: classes[1]: expected 0 to 100000000000 milliseconds in 'deadlineMs', found -5",
+        ),
+        (
+            "/settings/classes/1/objectiveMs",
+            json!(2e11),
+            "settings: classes[1]: expected 0 to 100000000000 milliseconds in 'objectiveMs', found 200000000000",
+        ),
+        (
+            "/settings/classes/0/worth",
+            json!(-0.5),
+            "settings: classes[0]: expected a number not below 0 in 'worth', found -0.5",
+        ),
+        (
+            "/settings/classes/1/name",
+            json!("read"),
+            "settings: classes[1]: expected a name that no other class has in 'name', found 'read' a second time",
+        ),
+        (
+            "/settings/classes/0/name",
+            json!("a\nrouter.current=0"),
+            "settings: classes[0]: expected no control characters in 'name', found \"a\\nrouter.current=0\"",
+        ),
+        (
+            "/settings/limits/keepaliveMs",
+            json!(-1),
+            "settings: limits: expected 0 to 100000000000 milliseconds in 'keepaliveMs', found -1",
+        ),
+        (
+            "/settings/limits/dialTimeoutMs",
+            json!(0),
+            "settings: limits: expected more than 0 in 'dialTimeoutMs', found 0",
+        ),
+        (
+            "/settings/limits/mostTries",
+            json!(0),
+            "settings: limits: expected more than 0 in 'mostTries', found 0",
+        ),
+        (
+            "/settings/limits/mostTries",
+            json!(1u64 << 32),
+            "settings: limits: expected at most 4294967295 in 'mostTries', found 4294967296",
+        ),
+        (
+            "/settings/replicasOfMe",
+            json!(1u64 << 32),
+            "settings: expected at most 4294967295 in 'replicasOfMe', found 4294967296",
+        ),
+        (
+            "/settings/zone",
+            json!(1u64 << 32),
+            "settings: expected at most 4294967295 in 'zone', found 4294967296",
+        ),
+        (
+            "/limits/sockets",
+            json!(u64::MAX),
+            "limits: expected at most 4294967295 in 'sockets', found 18446744073709551615",
+        ),
+        (
+            "/settings/contract/coldMs",
+            json!(2e11),
+            "settings: contract: expected 0 to 100000000000 milliseconds in 'coldMs', found 200000000000",
+        ),
+        (
+            "/settings/extra/positionZeroMs",
+            json!(-2e14),
+            "settings: extra: expected at most 100000000000000 milliseconds from 0 in 'positionZeroMs', found -200000000000000",
+        ),
         (
             "/settings/failureDomains",
             json!([1]),
