Refuse a cell that no request can name instead of taking it for another

Cause: a cell beyond 32 bits was cut, so that its instance stood in the group of another one and got its requests. Ruled out: leaving the one entry out, which would hide the fault; a list with any other faulty entry is refused as a whole too. Change: the cell is read as a whole number of 32 bits; the message names server and key. Zones beyond the settings' get numbers of their own behind them, which held before.

--- a/discovery/src/entries.rs
+++ b/discovery/src/entries.rs
@@ -2,7 +2,7 @@
 use routing::{Entry, GroupId, ListNews, MemberState, Time};
 use serde_json::Value;
 use settings::Error;
-use settings::fields::{array, flag, text, whole};
+use settings::fields::{array, count, flag, text, whole};
 
 /// Reads lists; numbers the zones by the names that the settings give.
 pub struct Reader {
@@ -44,7 +44,7 @@
         let zone = self.zone(v.get("zone").and_then(Value::as_str).unwrap_or(""));
         Ok(Entry {
             addr,
-            group: GroupId(whole(v, "cell").map_err(named)? as u32),
+            group: GroupId(count(v, "cell").map_err(named)?),
             zone,
             site: None,
             state,
