--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -5,11 +5,17 @@
 };
 use serde_json::{Value, json};
 use settings::Error;
-use settings::fields::{array, field, flag, micros, number, text, whole};
+use settings::fields::{array, count, field, flag, micros, moment, text, whole};
 use settings::platform::{self, Translation};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+/// A position that a report tells is no farther from zero, in seconds: what no clock holds tells nothing.
+const FARTHEST_S: f64 = 1e11;
+
+/// The largest note: its position is as far from zero.
+const MOST_MARK: u64 = 400_000_000_000_000;
+
 /// A request whose id the router may still name, or of which outcomes may still come.
 struct Known {
     name: String,
@@ -41,7 +47,7 @@
     /// Answers one line of input with one line of output.
     pub fn batch(&mut self, line: &str) -> Result<String, Error> {
         let batch: Value = serde_json::from_str(line)?;
-        let now = Time(micros(number(&batch, "simTimeMs")?));
+        let now = Time(moment(&batch, "simTimeMs")?);
         let mut replies = Vec::new();
         for event in array(&batch, "arrivals")? {
             let one = match event.as_object() {
@@ -148,8 +154,8 @@
         let started = v.get("startTimeMs").and_then(Value::as_f64).filter(|s| *s > 0.0);
         Ok(MemberEntry {
             id: self.member(text(v, "member")?),
-            group: GroupId(whole(v, "shard")? as u32),
-            zone: whole(v, "hall")? as u32,
+            group: GroupId(count(v, "shard")?),
+            zone: count(v, "hall")?,
             state,
             listed_primary: v.get("leads").and_then(Value::as_f64) == Some(1.0),
             weight: v.get("powerHint").and_then(Value::as_f64).unwrap_or(1.0),
@@ -161,7 +167,9 @@
         let of = |name: &str| body.get("telemetry").and_then(|t| t.get(name)).and_then(Value::as_f64);
         Report {
             primary: of("x1").map(|x| x == 1.0),
-            position: of("x0").map(|s| Time(self.translation.zero + (s * 1e6).round() as Micros)),
+            position: of("x0")
+                .filter(|s| s.abs() <= FARTHEST_S)
+                .map(|s| Time(self.translation.zero + (s * 1e6).round() as Micros)),
         }
     }
 
@@ -230,15 +238,15 @@
             k.hash(&mut h);
             SessionId(h.finish())
         });
-        let last_write = body.get("lastWriteMs").map_or(Ok(0.0), |_| number(body, "lastWriteMs"))?;
+        let last_write = body.get("lastWriteMs").map_or(Ok(0), |_| moment(body, "lastWriteMs"))?;
         let request = Request {
             id: RequestId(self.next_request),
             class,
             tenant,
             session,
-            group: GroupId(whole(body, "cluster")? as u32),
-            deadline: Time(now.0 + micros(number(body, "expiresInMs")?)),
-            token: (last_write > 0.0).then(|| Time(now.0 - micros(last_write))),
+            group: GroupId(count(body, "cluster")?),
+            deadline: Time(now.0 + moment(body, "expiresInMs")?),
+            token: (last_write > 0).then(|| Time(now.0 - last_write)),
         };
         self.next_request += 1;
         let known = Known { name: name.to_string(), write, out: 0, ended: false };
@@ -258,6 +266,9 @@
             return Ok(None);
         };
         let mark = body.get("mark").map_or(Ok(0), |_| whole(body, "mark"))?;
+        if mark > MOST_MARK {
+            return Err(Error::value("mark", format!("at most {MOST_MARK}"), mark));
+        }
         let at = (mark >= 4).then(|| Time(self.translation.zero + (mark / 4) as Micros * 1000));
         let primary = match mark % 4 {
             1 => Some(true),
