--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -17,6 +17,13 @@
 use std::sync::atomic::{AtomicIsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
+/// In microseconds.
+const DAY: i64 = 86_400_000_000;
+
+fn micros(ms: u64) -> i64 {
+    i64::try_from(ms).unwrap_or(i64::MAX).saturating_mul(1000)
+}
+
 /// What all connections of the front share.
 pub struct Front {
     handle: Handle<Postgres>,
@@ -307,8 +314,9 @@
             session,
             group: GroupId(statement.group),
             // Nobody waits longer than the class does, whatever is said.
-            deadline: Time(now.0 + (statement.wait_ms.min(86_400_000) as i64 * 1000).min(longest)),
-            token: statement.after_ms.map(|ms| Time(ms.saturating_mul(1000))),
+            deadline: Time(now.0 + micros(statement.wait_ms).min(longest)),
+            // What lies ahead of any clock is as far as what lies a day ahead, and can be reckoned with.
+            token: statement.after_ms.map(|ms| Time(ms.saturating_mul(1000).min(now.0 + DAY))),
             payload: statement,
             answer,
         });
