Hold a cold instance's part of its group's reads whatever its peers can take

Cause: each router let a request through to a cold instance by its own draw, so the fleet sent share x R, and R was not bounded: 3 times a member's load where the peers' places were full or listed no more, all of it where it was the only member (the factor was 0 of 1), reads at full weight beside the writes where it was the primary, and what a deadline of 5 s gathers counted like that of 2 s.

Ruled out: a bound by `pool` (300 routers have 300 places), a share of the routers' own rates (0.1 a second each), a memory of the group's size (halves new members in a rolling replacement); tried and left: wider parts, places rounded up.

Change: a cold replica has its own part of the draws, by listed size, at most half; within it it goes first among equals. Requests that were held count 1 + deadline / tip time times, twice at least.

--- a/decision/src/decide.rs
+++ b/decision/src/decide.rs
@@ -548,7 +548,7 @@
 
     fn choose_primary(&mut self, id: RequestId, actions: &mut Vec<Action>) -> Choice {
         let open = &self.requests[&id];
-        let (g, draw, crowd) = (open.request.group, open.draw, if open.held { BACKLOG } else { 1.0 });
+        let (g, draw, crowd) = (open.request.group, open.draw, self.crowd(open));
         let Some(group) = self.groups.get(&g) else { return Choice::Hold };
         if let Some(primary) = group.primary {
             return if self.room(primary, draw, crowd) { Choice::Send(primary) } else { Choice::Hold };
@@ -583,18 +583,19 @@
     fn room(&self, id: MemberId, draw: f64, crowd: f64) -> bool {
         let m = &self.members[&id];
         let (load, warmth) = (self.load(m), self.warmth(m));
+        let draw = if warmth < 1.0 { self.part(id, draw) } else { draw };
         let share = warmth * COLD_SHARE * self.settings.overload_factor;
         // A pool below one takes a share of the requests, one at a time.
-        (warmth >= 1.0 || draw * crowd < share)
+        (warmth >= 1.0 || draw < 1.0 && draw * crowd < share)
             && ((load as f64) < (m.pool * warmth).floor() || (load == 0 && draw < m.pool))
     }
 
-    /// A primary has places that its writes do not need.
+    /// A primary that is warm has places that its writes do not need.
     fn spare(&self, id: MemberId, draw: f64) -> bool {
         let m = &self.members[&id];
         self.room(id, draw, 1.0)
             && self.usable(id)
-            && (self.load(m) as f64) < (m.pool * self.warmth(m) * SPARE).floor()
+            && (self.load(m) as f64) < (m.pool * self.warmth(m).floor() * SPARE).floor()
     }
 
     fn usable(&self, id: MemberId) -> bool {
@@ -632,8 +633,8 @@
 
     fn choose_read(&mut self, id: RequestId, actions: &mut Vec<Action>) -> Choice {
         let open = &self.requests[&id];
-        let (g, draw, proofs, misses) =
-            (open.request.group, open.draw, open.proofs, open.count(Outcome::Miss));
+        let (g, draw, crowd, proofs, misses) =
+            (open.request.group, open.draw, self.crowd(open), open.proofs, open.count(Outcome::Miss));
         let need = self.needs(open);
         let patient = self.now.0 - open.arrived.0 < self.class(open).aim / 8;
         let tried: Vec<MemberId> = open.attempts.iter().map(|a| a.member).collect();
@@ -650,10 +651,6 @@
             .filter(|m| Some(**m) != primary && self.usable(**m) && !tried.contains(m))
             .filter(|m| known(&self.members[m]))
             .partition(|m| need.is_none_or(|n| self.stands(&self.members[m]) >= n));
-        // Replicas for each that may take this: a cold one must not stand in for its peers.
-        let late = if open.held { BACKLOG } else { 1.0 };
-        let crowd =
-            late * members.len().saturating_sub(1) as f64 / (fresh.len() + behind.len()).max(1) as f64;
         // A first probe may have brought no report: who has not said its role is asked again.
         for m in &members {
             if !checked && !self.members[m].role_known && self.usable(*m) {
@@ -697,7 +694,7 @@
             }
         }
         if let Some(p) = primary
-            && self.room(p, draw, 1.0)
+            && self.room(p, draw, BACKLOG * crowd * members.len().max(2) as f64)
         {
             return Choice::Send(p);
         }
@@ -707,14 +704,15 @@
         Choice::Hold
     }
 
-    /// The one with the fewest attempts in flight among those that may get more. Ties are random by listed
-    /// size, and the own zone counts for more: with hundreds of drivers nearly all picks are ties.
+    /// The one with the fewest attempts in flight among those that may get more. Ties go to a cold one,
+    /// whose part it is, or at random by size, to the own zone first: with hundreds of drivers most are ties.
     fn fewest(&mut self, among: &[MemberId], draw: f64, crowd: f64) -> Option<MemberId> {
         let open: Vec<MemberId> = among.iter().copied().filter(|m| self.room(*m, draw, crowd)).collect();
         // A late answer counts as one in flight for a while: drivers with little traffic hold hardly any.
         let mut left = self.rng.f64();
         let recent = self.now.0 - (BAN << BAN_DOUBLINGS);
-        let busy = |m: &Member| self.load(m) + usize::from(m.late_at.0 > recent);
+        let warm = |m: &Member| usize::from(self.warmth(m) >= 1.0);
+        let busy = |m: &Member| 2 * (self.load(m) + usize::from(m.late_at.0 > recent)) + warm(m);
         let least = open.iter().map(|m| busy(&self.members[m])).min()?;
         let ties = || open.iter().map(|m| (*m, &self.members[m])).filter(|m| busy(m.1) == least);
         let size = |m: &Member| m.weight * if m.zone == self.settings.zone { NEAR } else { 1.0 };
@@ -735,6 +733,22 @@
         from + (1.0 - from) * (age / time).min(1.0)
     }
 
+    /// Where a draw lies in a cold replica's own part, by listed size, of its group's reads, at most half of
+    /// them; one and more is outside. It never stands in for peers that are banned or full.
+    fn part(&self, id: MemberId, draw: f64) -> f64 {
+        let (m, g) = (&self.members[&id], &self.groups[&self.members[&id].group]);
+        let size = |x: &MemberId| if g.primary == Some(*x) { 0.0 } else { self.members[x].weight };
+        let all = g.members.iter().map(size).sum::<f64>().max(2.0 * m.weight);
+        let before: f64 = g.members.iter().take_while(|x| **x != id).map(size).sum();
+        if g.primary == Some(id) { draw } else { (draw * all - before).rem_euclid(all) / m.weight }
+    }
+
+    /// How much a request counts at a cold member: what a deadline gathers comes at once, on top of the rest.
+    fn crowd(&self, open: &Open) -> f64 {
+        let gathered = self.class(open).deadline as f64 / self.settings.tip_time as f64;
+        if open.held { BACKLOG.max(1.0 + gathered) } else { 1.0 }
+    }
+
     // ---- sending and ending ----
 
     fn send(&mut self, id: RequestId, member: MemberId, actions: &mut Vec<Action>) {
