Let clients fall quiet from 0.5 s after SIGTERM on and read them up to 0.65 s

Change: the grace is 0.5 s (new connections come for 0.4 s at most), so that 150 ms are left. The test's log line names 500 ms.

--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -223,10 +223,10 @@
 const EMPTY_LINE: Duration = Duration::from_secs(2);
 
 /// After SIGTERM, the front learns for this long that the router is going.
-const GRACE: Duration = Duration::from_millis(600);
+const GRACE: Duration = Duration::from_millis(500);
 /// Behind it, connections are let go as they fall quiet for this long at least, before any is ended over what its client
 /// may have asked.
-const QUIET: Duration = Duration::from_millis(50);
+const QUIET: Duration = Duration::from_millis(150);
 
 /// What may be open beside the connections of clients and to instances, all at the same moment.
 mod aside {
--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -432,7 +432,7 @@
     }
     let (begun, addr) = (Instant::now(), site.addr);
     router.program.terminate();
-    router.program.logged("taking requests for 600ms more");
+    router.program.logged("taking requests for 500ms more");
     // One asks ahead without a pause, one asks again with each answer, on the connection that it has.
     let ahead = std::thread::spawn(move || pipeline(addr, &AtomicUsize::new(0), begun));
     let eager = std::thread::spawn(move || {
