--- a/settings/src/limits.rs
+++ b/settings/src/limits.rs
@@ -368,11 +368,17 @@
         }
     }
 
-    /// Takes what the operators' door needs out of what clients and links share; of few descriptors it gets fewer callers.
+    /// Takes what the operators' door needs out of what clients and links share, of links down to half of theirs first: two
+    /// processes side by side have to hold all that the platform's front deals out, or they look for room without a
+    /// pause. Of few descriptors it gets fewer callers.
     pub fn open_door(&mut self, sockets: usize) {
         self.door_callers = self.door_callers.min((sockets.saturating_sub(32) / 16).max(2));
         self.set_aside = aside::ROUTER + aside::DOOR + self.door_callers;
-        (self.client_connections, self.link_connections) = share(sockets, self.set_aside);
+        let (clients, links) = share(sockets, aside::ROUTER);
+        let both = share(sockets, self.set_aside);
+        let all = both.0 + both.1;
+        self.client_connections = clients.min(all.saturating_sub(links / 2)).max(both.0);
+        self.link_connections = all - self.client_connections;
     }
 
     /// What a new watch may take to come up and bring its first line, however slow the agent: nothing closes it before
