Serve all connections of discovery's watch on one thread

Cause: each connection of the watch had a reader thread (discovery/src/connection.rs), and an outage opens up to Limits::watch_most (6) of them beside the stale one and the driver. Ruled out by a count by thread name: clients and links hold 6.6 a router together, as before.

The driver now polls all connections itself (mio, as the admin listener does), connects without blocking and splits what comes in turns of 64 KiB. Times are as before: watch_connect until the connection is up, watch_silent for each part of the head, then the state machine's.

Tests of discovery and http1: 45 passed, none failed.

--- a/discovery/src/driver.rs
+++ b/discovery/src/driver.rs
@@ -1,21 +1,30 @@
-//! The thread that carries out what the state machine decides. It alone updates the list.
+//! The thread that carries out what the state machine decides, and that serves all connections. It alone updates the
+//! list.
 
-use crate::connection;
+use crate::connection::{Progress, Received, WatchConnection};
 use crate::endpoint_list::EndpointListParser;
 use crate::error::ConnectionError;
 use crate::json_objects::StreamItem;
 use crate::liveness::{Action, ConnectionId, Event, Settings, WatchLiveness};
-use crate::shared::{Message, OpenConnection, Shared};
-use crossbeam_channel::{Receiver, RecvTimeoutError};
-use routing::{EndpointUpdate, UpdateOrder, spawn};
+use crate::shared::Shared;
+use crossbeam_channel::Receiver;
+use mio::{Events, Poll, Token, Waker};
+use routing::{EndpointUpdate, UpdateOrder};
 use settings::Limits;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// While discovery is away, up to four attempts a second fail: of these, the first and each tenth are warnings.
 const FAILURES_PER_WARNING: u32 = 10;
+/// The token of the waker. Connections have their ids, which count from 1.
+const WAKER: Token = Token(0);
+/// Events that are collected from the system at a time; there are few connections.
+const MAX_EVENTS_PER_TURN: usize = 32;
+/// How long after a failed wait the next one begins.
+const WAIT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// The actor of the list has ended, and with it the watch.
 struct ListClosed;
@@ -30,13 +39,16 @@
 
 pub(crate) struct Driver {
     shared: Arc<Shared>,
+    poll: Poll,
     /// The address that new connections go to.
     addr: SocketAddr,
     /// Zero of the state machine's times.
     started: Instant,
     liveness: WatchLiveness,
     parser: EndpointListParser,
-    connections: HashMap<ConnectionId, OpenConnection>,
+    connections: BTreeMap<ConnectionId, WatchConnection>,
+    /// Connections that may have something to read.
+    ready: BTreeSet<ConnectionId>,
     /// The address whose version the list holds.
     version_source: Option<SocketAddr>,
     /// Failed attempts since a watch was last live.
@@ -44,65 +56,130 @@
 }
 
 impl Driver {
-    pub(crate) fn new(shared: Arc<Shared>, addr: SocketAddr) -> Driver {
-        Driver {
+    /// A driver that has opened nothing yet, and what wakes it.
+    ///
+    /// # Errors
+    /// The system's, among others if the process is out of descriptors.
+    pub(crate) fn new(shared: Arc<Shared>, addr: SocketAddr) -> io::Result<(Driver, Waker)> {
+        let poll = Poll::new()?;
+        let waker = Waker::new(poll.registry(), WAKER)?;
+        let driver = Driver {
+            poll,
             addr,
             started: Instant::now(),
             liveness: WatchLiveness::new(liveness_settings(&shared.limits)),
             parser: EndpointListParser::new(shared.zones.clone()),
-            connections: HashMap::new(),
+            connections: BTreeMap::new(),
+            ready: BTreeSet::new(),
             version_source: None,
             failures: 0,
             shared,
-        }
+        };
+        Ok((driver, waker))
     }
 
     /// Runs until the actor of the list has ended.
-    pub(crate) fn run(mut self, messages: &Receiver<Message>) {
+    pub(crate) fn run(mut self, addresses: &Receiver<SocketAddr>) {
+        let mut events = Events::with_capacity(MAX_EVENTS_PER_TURN);
         loop {
-            let received = match self.liveness.next_deadline() {
-                Some(deadline) => messages.recv_deadline(self.started + deadline),
-                None => messages.recv().map_err(|_| RecvTimeoutError::Disconnected),
-            };
-            let handled = match received {
-                Ok(message) => self.on_message(message),
-                Err(RecvTimeoutError::Timeout) => {
-                    self.handle(Event::Deadline);
-                    Ok(())
-                }
-                Err(RecvTimeoutError::Disconnected) => return,
-            };
-            if let Err(ListClosed) = handled {
-                self.connections.values().for_each(OpenConnection::close);
+            self.wait(&mut events);
+            while let Ok(addr) = addresses.try_recv() {
+                self.addr = addr;
+                self.handle(Event::Follow);
+            }
+            self.note_events(&events);
+            if self.advance_ready().is_err() {
                 return;
             }
+            self.end_overdue_connections();
+            if self.liveness.next_deadline().is_some_and(|at| at <= self.started.elapsed()) {
+                self.handle(Event::Deadline);
+            }
         }
     }
 
-    fn on_message(&mut self, message: Message) -> Result<(), ListClosed> {
-        match message {
-            Message::Follow(addr) => {
-                self.addr = addr;
-                self.handle(Event::Follow);
+    fn wait(&mut self, events: &mut Events) {
+        let timeout = self.timeout();
+        if let Err(error) = self.poll.poll(events, timeout)
+            && error.kind() != io::ErrorKind::Interrupted
+        {
+            tracing::warn!(%error, "discovery: can't wait for the watch; it tries again");
+            // Not a busy loop: whatever is wrong, the connections are tried again at this pace.
+            std::thread::sleep(WAIT_RETRY_DELAY);
+        }
+    }
+
+    /// How long nothing needs doing unless an event arrives. `None`: forever.
+    fn timeout(&self) -> Option<Duration> {
+        if !self.ready.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let steps = self.connections.values().filter_map(WatchConnection::step_deadline);
+        let next = self.liveness.next_deadline().map(|at| self.started + at);
+        steps.chain(next).min().map(|at| at.saturating_duration_since(Instant::now()))
+    }
+
+    fn note_events(&mut self, events: &Events) {
+        for event in events {
+            if event.token() == WAKER {
+                continue;
+            }
+            let id = ConnectionId(event.token().0 as u64);
+            if event.is_writable() || event.is_error() {
+                self.on_writable(id);
+            }
+            if self.connections.contains_key(&id) {
+                self.ready.insert(id);
             }
-            Message::Connected(id, connection) => self.on_connected(id, connection),
-            Message::ResponseHead(id) => self.handle(Event::ResponseHead(id)),
-            Message::Item(id, item) => self.on_item(id, item)?,
-            Message::Ended(id, error) => self.on_ended(id, &error),
+        }
+    }
+
+    fn on_writable(&mut self, id: ConnectionId) {
+        let version = self.shared.resume_version();
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if let Err(error) = connection.on_writable(version) {
+            self.on_ended(id, &error);
+        }
+    }
+
+    /// Each connection that may have something to read has one turn.
+    fn advance_ready(&mut self) -> Result<(), ListClosed> {
+        for id in std::mem::take(&mut self.ready) {
+            self.advance(id)?;
         }
         Ok(())
     }
 
-    /// Takes a connection that has come up. One that was given up meanwhile is closed, and so is one that resumes from
-    /// a version that no longer counts.
-    fn on_connected(&mut self, id: ConnectionId, connection: OpenConnection) {
-        if !self.liveness.is_tracked(id) {
-            return connection.close();
+    fn advance(&mut self, id: ConnectionId) -> Result<(), ListClosed> {
+        let Some(connection) = self.connections.get_mut(&id) else { return Ok(()) };
+        let mut received = Vec::new();
+        let progress = connection.advance(&mut received);
+        for part in received {
+            // An earlier part may have closed the connection.
+            if !self.connections.contains_key(&id) {
+                return Ok(());
+            }
+            match part {
+                Received::ResponseHead => self.handle(Event::ResponseHead(id)),
+                Received::Item(item) => self.on_item(id, item)?,
+            }
         }
-        let is_outdated = connection.version > 0 && self.shared.resumes_from_zero();
-        self.connections.insert(id, connection);
-        if is_outdated {
-            self.on_ended(id, &ConnectionError::VersionsRestarted);
+        match progress {
+            Ok(Progress::HasMore) => _ = self.ready.insert(id),
+            Ok(Progress::Waiting) => {}
+            Err(error) => self.on_ended(id, &error),
+        }
+        Ok(())
+    }
+
+    /// Ends connections that have not come up, or brought no response head, in time.
+    fn end_overdue_connections(&mut self) {
+        let now = Instant::now();
+        let is_overdue = |c: &WatchConnection| c.step_deadline().is_some_and(|at| at <= now);
+        let overdue: Vec<ConnectionId> =
+            self.connections.iter().filter(|(_, c)| is_overdue(c)).map(|(id, _)| *id).collect();
+        for id in overdue {
+            self.on_ended(id, &ConnectionError::Io(io::ErrorKind::TimedOut.into()));
         }
     }
 
@@ -121,7 +198,7 @@
         if let Some(update) = update {
             // That line may have been what closed it: a previous address's connection whose time is over.
             let Some(connection) = self.connections.get_mut(&id) else { return Ok(()) };
-            let previous_version = std::mem::replace(&mut connection.version, update.version);
+            let previous_version = connection.version.replace(update.version).unwrap_or(0);
             let source = Source { connection: id, addr: connection.addr, previous_version };
             self.apply(&source, update)?;
         }
@@ -162,8 +239,9 @@
     /// What else has changed since discovery began anew is not known, so no connection may build on what is held.
     fn request_complete_list(&mut self) {
         self.shared.set_resume_from_zero(true);
-        let open: Vec<ConnectionId> = self.connections.keys().copied().collect();
-        for id in open {
+        // One that has not sent its request yet will ask for the complete list.
+        let resumed = self.connections.iter().filter(|(_, c)| c.version.is_some());
+        for id in resumed.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.on_ended(id, &ConnectionError::VersionsRestarted);
         }
     }
@@ -223,20 +301,19 @@
         }
     }
 
-    /// Starts a connection's reader. Where that fails, the connection has ended.
+    /// Begins to connect. Where that fails at once, the connection has ended.
     fn open(&mut self, id: ConnectionId) {
-        let (addr, shared) = (self.addr, self.shared.clone());
-        let reader = move || connection::run(addr, id, &shared);
-        if let Err(error) = spawn("discovery", self.shared.limits.stack_bytes, reader) {
-            self.on_ended(id, &ConnectionError::Io(error));
+        let (limits, token) = (&self.shared.limits, Token(id.0 as usize));
+        match WatchConnection::open(self.addr, limits, self.poll.registry(), token) {
+            Ok(connection) => _ = self.connections.insert(id, connection),
+            Err(error) => self.on_ended(id, &ConnectionError::Io(error)),
         }
     }
 
-    /// Closes a connection where it is up. One that is not yet is closed once it is.
+    /// Closes a connection, which its poll forgets with the descriptor.
     fn close(&mut self, id: ConnectionId) {
-        if let Some(connection) = self.connections.remove(&id) {
-            connection.close();
-        }
+        self.connections.remove(&id);
+        self.ready.remove(&id);
     }
 }
 
--- a/discovery/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! - [`liveness`] is the state machine that decides when a watch is stale and when connections are opened and closed.
 //! - [`json_objects`] splits the body of the answer into objects; [`endpoint_list`] reads each as an update.
-//! - [`Watch`] is the handle that the program holds. Behind it, one driver thread carries out what the state machine
-//!   decides, and each connection has a thread that only reads. All updates pass through the driver, so nothing from a
+//! - [`Watch`] is the handle that the program holds. Behind it, one thread, the driver, carries out what the state
+//!   machine decides and serves all connections without blocking, however many an outage opens. Nothing from a
 //!   connection that was closed reaches the list.
 //!
 //! A new connection asks for what comes after the version that the list holds (it resumes there), or for the complete
--- a/discovery/src/shared.rs
+++ b/discovery/src/shared.rs
@@ -1,49 +1,16 @@
-//! What the handles of a watch, its driver and its readers share, and the messages that the driver receives.
+//! What the handles of a watch and its driver share.
 
-use crate::error::ConnectionError;
-use crate::json_objects::StreamItem;
-use crate::liveness::ConnectionId;
 use crossbeam_channel::{Receiver, Sender, bounded};
+use mio::Waker;
 use routing::EndpointsHandle;
 use settings::Limits;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Messages that may wait for the driver. Each may hold a complete list.
-const DRIVER_QUEUE: usize = 4;
-
-/// What the driver receives.
-pub(crate) enum Message {
-    /// Watch this address from now on.
-    Follow(SocketAddr),
-    /// This connection is up and about to send its request.
-    Connected(ConnectionId, OpenConnection),
-    /// This connection was answered with status 200.
-    ResponseHead(ConnectionId),
-    /// This connection has brought an object or an empty line.
-    Item(ConnectionId, StreamItem),
-    /// The reader of this connection has ended.
-    Ended(ConnectionId, ConnectionError),
-}
-
-/// A connection that is up. Closing its socket ends its reader.
-pub(crate) struct OpenConnection {
-    pub(crate) socket: Arc<TcpStream>,
-    /// The version that it resumed from, or the last one that it has brought.
-    pub(crate) version: u64,
-    /// The address that it is connected to.
-    pub(crate) addr: SocketAddr,
-}
-
-impl OpenConnection {
-    /// Shuts the socket down, which ends the reader.
-    pub(crate) fn close(&self) {
-        // An error means that it is closed already.
-        _ = self.socket.shutdown(Shutdown::Both);
-    }
-}
+/// Changes of the address that may wait for the driver.
+const FOLLOW_QUEUE: usize = 4;
 
 /// Shared by all threads of a watch.
 pub(crate) struct Shared {
@@ -52,9 +19,12 @@
     pub(crate) limits: Arc<Limits>,
     /// The actor that updates go to, and that holds the version to resume from.
     pub(crate) list: EndpointsHandle,
-    pub(crate) driver: Sender<Message>,
-    /// The driver takes it when it starts.
-    pub(crate) driver_queue: Mutex<Option<Receiver<Message>>>,
+    /// The addresses to watch, in order; the driver is woken for each.
+    pub(crate) addresses: Sender<SocketAddr>,
+    /// Where the driver receives them.
+    pub(crate) address_queue: Receiver<SocketAddr>,
+    /// Wakes the driver, once that runs.
+    pub(crate) waker: Mutex<Option<Waker>>,
     pub(crate) first_line: FirstLine,
     /// The version that the list holds means nothing to discovery any more.
     resume_from_zero: AtomicBool,
@@ -62,13 +32,14 @@
 
 impl Shared {
     pub(crate) fn new(zones: Vec<String>, limits: Arc<Limits>, list: EndpointsHandle) -> Shared {
-        let (driver, queue) = bounded(DRIVER_QUEUE);
+        let (addresses, queue) = bounded(FOLLOW_QUEUE);
         Shared {
             zones,
             limits,
             list,
-            driver,
-            driver_queue: Mutex::new(Some(queue)),
+            addresses,
+            address_queue: queue,
+            waker: Mutex::new(None),
             first_line: FirstLine::default(),
             resume_from_zero: AtomicBool::new(false),
         }
--- a/discovery/src/watch.rs
+++ b/discovery/src/watch.rs
@@ -1,7 +1,8 @@
 //! The handle of a watch.
 
 use crate::driver::Driver;
-use crate::shared::{Message, Shared, lock};
+use crate::shared::{Shared, lock};
+use mio::Waker;
 use routing::{EndpointsHandle, spawn};
 use settings::Limits;
 use std::io;
@@ -25,17 +26,26 @@
     /// Watches this address from now on. Until it has brought something, updates from the previous one still count.
     ///
     /// # Errors
-    /// No thread can be started; raise the limit of processes of the user that the router runs as.
+    /// No thread can be started, or no descriptor is left for its poll; raise the limits of the user that the router
+    /// runs as.
     pub fn follow(&self, addr: SocketAddr) -> io::Result<()> {
-        let mut queue = lock(&self.shared.driver_queue);
-        if let Some(messages) = queue.as_ref().cloned() {
-            let driver = Driver::new(self.shared.clone(), addr);
-            spawn("discovery", self.shared.limits.stack_bytes, move || driver.run(&messages))?;
-            *queue = None;
-        }
+        let mut running = lock(&self.shared.waker);
+        let waker = match running.take() {
+            Some(waker) => waker,
+            None => self.start_driver(addr)?,
+        };
         // An error means that the driver has ended, and so has the program's list.
-        _ = self.shared.driver.send(Message::Follow(addr));
-        Ok(())
+        _ = self.shared.addresses.send(addr);
+        let woken = waker.wake();
+        *running = Some(waker);
+        woken
+    }
+
+    fn start_driver(&self, addr: SocketAddr) -> io::Result<Waker> {
+        let (driver, waker) = Driver::new(self.shared.clone(), addr)?;
+        let addresses = self.shared.address_queue.clone();
+        spawn("discovery", self.shared.limits.stack_bytes, move || driver.run(&addresses))?;
+        Ok(waker)
     }
 
     /// Waits until the agent has sent what it has, at most for `timeout`. Gives `true` once its first update was handed
--- a/http1/src/lib.rs
+++ b/http1/src/lib.rs
@@ -2,8 +2,9 @@
 //! chunks' sizes are read by `httparse`; no chunk decoder of the registry goes on after a read that stopped midway.
 use std::io::{self, BufRead, BufReader, Read};
 
-/// The longest head.
-const HEAD: u64 = 16_384;
+/// The longest head, in bytes.
+pub const MAX_HEAD_BYTES: usize = 16_384;
+const HEAD: u64 = MAX_HEAD_BYTES as u64;
 /// The longest line with a chunk's size.
 const SIZE: usize = 64;
 
