--- a/admin/src/command.rs
+++ b/admin/src/command.rs
@@ -4,6 +4,8 @@
 
 /// The longest instance ID, in bytes.
 pub const MAX_ID_BYTES: usize = 256;
+/// Where collectors of metrics look for them.
+const METRICS_PATH: &[u8] = b"/metrics";
 /// How much of an unknown verb is repeated in the error, in bytes.
 const MAX_ECHOED_BYTES: usize = 32;
 
@@ -14,6 +16,8 @@
     Status,
     /// Report the metrics.
     Metrics,
+    /// Report all metrics as HTTP, for whatever collects them: `GET /metrics HTTP/1.1`.
+    HttpMetrics,
     /// Put this instance in maintenance.
     Suspend(String),
     /// End the maintenance of this instance.
@@ -71,6 +75,7 @@
         match verb.to_ascii_uppercase().as_slice() {
             b"STATUS" => arguments.none("STATUS").map(|()| Command::Status),
             b"METRICS" => arguments.none("METRICS").map(|()| Command::Metrics),
+            b"GET" if arguments.first == Some(METRICS_PATH) => Ok(Command::HttpMetrics),
             b"SUSPEND" => arguments.id("SUSPEND", "SUSPEND ID").map(Command::Suspend),
             b"RESTORE" => arguments.id("RESTORE", "RESTORE ID").map(Command::Restore),
             b"PAUSE" => arguments.none("PAUSE").map(|()| Command::Pause),
@@ -88,6 +93,7 @@
         match self {
             Command::Status => f.write_str("STATUS"),
             Command::Metrics => f.write_str("METRICS"),
+            Command::HttpMetrics => f.write_str("GET /metrics"),
             Command::Suspend(id) => write!(f, "SUSPEND {id}"),
             Command::Restore(id) => write!(f, "RESTORE {id}"),
             Command::Pause => f.write_str("PAUSE"),
--- a/admin/src/response.rs
+++ b/admin/src/response.rs
@@ -9,6 +9,8 @@
     Rejected(String),
     /// The text of the metrics, one a line, without a status line before them; a line `EOF` follows them.
     Metrics(String),
+    /// An HTTP response with the text of all metrics.
+    Http(String),
 }
 
 impl Response {
@@ -25,6 +27,10 @@
                 lines.push_str("EOF\n");
                 lines.into_bytes()
             }
+            Response::Http(text) => {
+                let head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nConnection: close";
+                format!("{head}\r\nContent-Length: {}\r\n\r\n{text}", text.len()).into_bytes()
+            }
         }
     }
 }
--- a/admin/src/service.rs
+++ b/admin/src/service.rs
@@ -102,6 +102,7 @@
             // These two change nothing, so they are not logged.
             Command::Status => return coordinator.status(),
             Command::Metrics => return coordinator.metrics(),
+            Command::HttpMetrics => return coordinator.http_metrics(),
             Command::Suspend(id) => Event::Suspend(id),
             Command::Restore(id) => Event::Restore(id),
             Command::Pause => Event::Pause,
--- a/admin/src/service/coordinator.rs
+++ b/admin/src/service/coordinator.rs
@@ -95,6 +95,14 @@
         Response::Metrics(self.dependencies.metrics.render_text())
     }
 
+    /// The response to `GET /metrics`.
+    pub(super) fn http_metrics(&self) -> Response {
+        match self.dependencies.metrics.render_prometheus() {
+            Ok(text) => Response::Http(text),
+            Err(error) => Response::Rejected(format!("the metrics can't be encoded: {error}")),
+        }
+    }
+
     /// Runs a command that may change the state. If it cannot be stored, it is in effect here all the same, and storing
     /// it is retried.
     pub(super) fn run_command(&mut self, event: Event) -> Response {
--- a/admin/tests/common/router.rs
+++ b/admin/tests/common/router.rs
@@ -5,11 +5,12 @@
 use clients::ServerCommand;
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use routing::{
-    AttemptGuard, BackendProtocol, Clock, Connection, EndpointEntry, EndpointUpdate, EndpointsHandle,
-    Exchange, ExchangeResult, GroupId, MemberState, Metrics, NotSent, Outcome, RouterMessage,
+    AttemptGuard, BackendProtocol, Clock, Connection, ConnectionPermit, EndpointEntry, EndpointUpdate,
+    EndpointsHandle, Exchange, ExchangeResult, GroupId, MemberState, Metrics, NotSent, Outcome,
+    RouterMessage, ServerSocket,
 };
 use settings::Limits;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,22 +18,22 @@
 
 /// A protocol that connects to nothing: only the endpoint list's actor runs.
 struct UnusedProtocol;
-struct UnusedConnection(Arc<TcpStream>);
+struct UnusedConnection(ServerSocket);
 
 impl BackendProtocol for UnusedProtocol {
     type Payload = ();
     type Response = ();
     type Connection = UnusedConnection;
-    fn connect(&self, _: SocketAddr) -> Result<UnusedConnection, Outcome> {
+    fn connect(&self, _: SocketAddr, _: ConnectionPermit) -> Result<UnusedConnection, Outcome> {
         unreachable!("no instance is asked")
     }
 }
 
 impl Connection<UnusedProtocol> for UnusedConnection {
-    fn socket(&self) -> Arc<TcpStream> {
+    fn socket(&self) -> ServerSocket {
         self.0.clone()
     }
-    fn is_usable(&mut self, _: Duration) -> bool {
+    fn is_usable(&mut self, _: Duration, _: ConnectionPermit) -> bool {
         false
     }
     fn execute(
--- a/clients/src/connection.rs
+++ b/clients/src/connection.rs
@@ -5,14 +5,15 @@
 
 pub use reader::{CommandReader, SocketState, is_timeout};
 
-use crate::in_flight_commands::InFlightCommands;
 use crate::in_flight_requests::InFlightRequests;
 use crate::shared_state::SharedState;
+use routing::permit::CommandGate;
+use routing::reasons::CloseReason;
 use settings::Limits;
 use socket2::SockRef;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::time::Instant;
 
 /// Shortest time that a read waits for a client. Even after its deadline a whole command may already lie in the
@@ -36,7 +37,7 @@
     opened_at: Instant,
     limits: Arc<Limits>,
     /// Commands that were read and have no response yet, and whether more are accepted.
-    in_flight_commands: InFlightCommands,
+    commands: CommandGate,
     /// A command has been read.
     has_read_command: AtomicBool,
     /// A request has been made, not only commands that are answered without one.
@@ -53,6 +54,8 @@
     write_shutdown_ms: AtomicU64,
     /// Both sides have been shut down.
     closed: AtomicBool,
+    /// The first [`CloseReason`] that was given; 0 before.
+    close_reason: AtomicU8,
     shared: Arc<SharedState>,
 }
 
@@ -70,7 +73,8 @@
             in_flight_requests: InFlightRequests::default(),
             opened_at: Instant::now(),
             limits,
-            in_flight_commands: InFlightCommands::default(),
+            commands: CommandGate::default(),
+            close_reason: AtomicU8::new(0),
             has_read_command: AtomicBool::new(false),
             has_made_request: AtomicBool::new(false),
             last_command_malformed: AtomicBool::new(false),
@@ -92,7 +96,7 @@
     pub fn begin_command(&self, next_started: bool) -> bool {
         self.has_read_command.store(true, Ordering::SeqCst);
         self.command_started.store(next_started, Ordering::SeqCst);
-        self.in_flight_commands.try_begin()
+        self.commands.permit_command().is_ok()
     }
 
     /// Has to be called right before a response is written. While connections close, the response that leaves nothing
@@ -100,7 +104,8 @@
     /// sending side down and leave together with that end of stream, so that no client that has the whole response
     /// takes the connection for a usable one.
     pub fn prepare_response(&self) {
-        if self.may_close_when_idle() && self.in_flight_commands.close_if_last() {
+        if self.may_close_when_idle() && self.commands.permit_last_response().is_ok() {
+            self.set_close_reason(CloseReason::ShuttingDown);
             // Without the option, the end of stream follows right behind the response.
             _ = SockRef::from(&self.socket).set_tcp_cork(true);
         }
@@ -109,7 +114,7 @@
     /// A command has its response, or needs none. Closes the connection if that is due.
     pub fn finish_command(&self) {
         self.idle_since_ms.store(self.opened_at.elapsed().as_millis() as u64, Ordering::Relaxed);
-        if self.in_flight_commands.finish() {
+        if self.commands.finish() {
             return self.shut_down_write();
         }
         if self.may_close_when_idle() {
@@ -117,6 +122,16 @@
         }
     }
 
+    /// Names why the connection closes, for the log and the metrics; the first reason counts.
+    pub fn set_close_reason(&self, reason: CloseReason) {
+        _ = self.close_reason.compare_exchange(0, reason as u8, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Why it closes.
+    pub(crate) fn close_reason(&self) -> CloseReason {
+        CloseReason::from_number(self.close_reason.load(Ordering::Relaxed))
+    }
+
     /// Whether operators drain the router: health checks of clients fail then.
     pub fn is_draining(&self) -> bool {
         self.shared.is_draining()
--- a/clients/src/connection/closing.rs
+++ b/clients/src/connection/closing.rs
@@ -1,6 +1,7 @@
 //! How a connection closes: in order, behind the last response, without a reset that could discard that response.
 use super::{Connection, MIN_READ_WAIT, WRITE_OPEN};
 use crate::shutdown::ClosePolicy;
+use routing::reasons::CloseReason;
 use routing::socket::{DeadlineReader, is_idle_and_open};
 use std::io::{self, Read};
 use std::net::Shutdown;
@@ -21,7 +22,7 @@
     /// side stays open: once both are shut down, bytes that still arrive are answered with a reset, and a reset may
     /// discard the last response.
     pub fn shut_down_write(&self) {
-        self.in_flight_commands.close();
+        self.commands.close();
         let now = self.opened_at.elapsed().as_millis() as u64;
         _ = self.write_shutdown_ms.compare_exchange(WRITE_OPEN, now, Ordering::SeqCst, Ordering::SeqCst);
         // An error means that it is closed already.
@@ -47,7 +48,8 @@
 
     /// Shuts the sending side down if nothing is in flight.
     pub(super) fn shut_down_write_if_idle(&self) {
-        if self.in_flight_commands.close_if_idle() {
+        if self.commands.permit_idle_close().is_ok() {
+            self.set_close_reason(CloseReason::ShuttingDown);
             self.shut_down_write();
         }
     }
@@ -75,7 +77,7 @@
     /// last response, in [`Connection::finish_command`]. The receiving side is not shut down to wake the reader: that
     /// would look like a client that disconnects.
     pub(crate) fn apply_close_policy(&self) {
-        if self.in_flight_commands.is_closed() {
+        if self.commands.is_closed() {
             return self.end_linger();
         }
         let expects_first_command = !self.has_read_command.load(Ordering::SeqCst)
@@ -88,7 +90,7 @@
     /// Shuts both sides down once the reader of a closed connection has waited long enough for the client to close.
     fn end_linger(&self) {
         let lingered = self.write_shutdown_at().is_some_and(|at| at.elapsed() >= self.limits.client_linger);
-        if lingered && self.in_flight_commands.count() == 0 {
+        if lingered && self.commands.count() == 0 {
             self.shut_down_both();
         }
     }
@@ -108,7 +110,7 @@
 
     /// Whether bytes that arrive now are not read any more.
     pub(super) fn is_closed_to_reads(&self) -> bool {
-        self.in_flight_commands.is_closed() || self.reading_stopped()
+        self.commands.is_closed() || self.reading_stopped()
     }
 
     /// Whether the connection is open and nothing waits to be read.
--- a/clients/src/connection/idle.rs
+++ b/clients/src/connection/idle.rs
@@ -1,5 +1,6 @@
 //! How long a connection may be idle, and which idle connections are evicted first.
 use super::Connection;
+use routing::reasons::CloseReason;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -27,7 +28,7 @@
         } else {
             self.limits.client_first.saturating_sub(self.idle_since() - self.opened_at)
         };
-        self.idle_since().elapsed() >= timeout && self.close_if_silent()
+        self.idle_since().elapsed() >= timeout && self.close_if_silent(CloseReason::IdleTimeout)
     }
 
     /// How long the connection may be idle between commands. The platform assigns each router a share of the
@@ -45,23 +46,23 @@
 
     /// Its place among those that may be evicted; `None` while commands are in flight or once it is closed.
     pub(crate) fn eviction_rank(&self) -> Option<EvictionRank> {
-        let evictable = self.in_flight_commands.count() == 0 && !self.closed.load(Ordering::SeqCst);
+        let evictable = self.commands.count() == 0 && !self.closed.load(Ordering::SeqCst);
         evictable.then(|| EvictionRank { min_idle: self.min_idle(), idle_since: self.idle_since() })
     }
 
     /// Closes the connection to make room; `false` if a command has arrived on it.
     pub(crate) fn evict(&self) -> bool {
-        if self.in_flight_commands.is_closed() {
+        if self.commands.is_closed() {
             self.shut_down_both();
             return true;
         }
-        self.close_if_silent()
+        self.close_if_silent(CloseReason::Evicted)
     }
 
     /// How long the connection has to be idle before it may be evicted.
     fn min_idle(&self) -> Duration {
         let malformed = self.last_command_malformed.load(Ordering::Relaxed);
-        if self.in_flight_commands.is_closed() || malformed {
+        if self.commands.is_closed() || malformed {
             return Duration::ZERO;
         }
         // One that has made no request, an empty query at most, is not kept like one that will make more: a few
@@ -71,9 +72,10 @@
 
     /// Closes the connection at once if nothing is in flight and nothing has arrived: its last response was received
     /// long ago.
-    fn close_if_silent(&self) -> bool {
-        let closed = self.is_silent() && self.in_flight_commands.close_if_idle();
+    fn close_if_silent(&self, reason: CloseReason) -> bool {
+        let closed = self.is_silent() && self.commands.permit_idle_close().is_ok();
         if closed {
+            self.set_close_reason(reason);
             self.shut_down_both();
         }
         closed
--- a/clients/src/connection/reader.rs
+++ b/clients/src/connection/reader.rs
@@ -53,7 +53,7 @@
             (true, _) => now + command_timeout,
             (false, false) => self.opened_at + self.limits.client_first,
             // Idle time counts from the last response, which may be written while this waits.
-            (false, true) if self.in_flight_commands.count() == 0 => self.idle_since() + self.idle_timeout(),
+            (false, true) if self.commands.count() == 0 => self.idle_since() + self.idle_timeout(),
             (false, true) => now + self.idle_timeout(),
         };
         self.command_started.store(started, Ordering::SeqCst);
--- a/clients/src/disconnects.rs
+++ b/clients/src/disconnects.rs
@@ -9,6 +9,7 @@
 use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use nix::sys::epoll::{Epoll, EpollCreateFlags, EpollEvent, EpollFlags, EpollTimeout};
 use routing::RequestId;
+use routing::reasons::CloseReason;
 use std::os::fd::AsFd;
 
 /// Disconnects that are collected from the system at a time.
@@ -27,6 +28,7 @@
     /// request is submitted from here on.
     pub fn mark_disconnected(&self, cancel: impl FnMut(RequestId)) {
         if let Some(requests) = self.in_flight_requests.disconnect(cancel) {
+            self.set_close_reason(CloseReason::ClientLeft);
             tracing::debug!("clients: {} has left {requests} requests", self.id);
         }
     }
--- a/clients/src/server.rs
+++ b/clients/src/server.rs
@@ -8,7 +8,7 @@
 use crate::shared_state::SharedState;
 use command_loop::CommandLoop;
 use crossbeam_channel::Receiver;
-use routing::RequestId;
+use routing::{Metrics, RequestId};
 use settings::Limits;
 use std::collections::HashMap;
 use std::io;
@@ -50,11 +50,13 @@
     shared: Arc<SharedState>,
     accepting: Arc<AtomicBool>,
     disconnect_watcher: DisconnectWatcher,
+    /// Counts why connections close, if operators want to know.
+    metrics: Option<Arc<Metrics>>,
 }
 
 impl<H: ConnectionHandler> ClientServer<H> {
-    /// A server without connections; [`ClientServer::serve`] accepts them.
-    pub fn new(handler: Arc<H>, limits: Arc<Limits>) -> Arc<Self> {
+    /// A server without connections; [`ClientServer::serve`] accepts them. `metrics` count why they close.
+    pub fn new(handler: Arc<H>, limits: Arc<Limits>, metrics: Option<Arc<Metrics>>) -> Arc<Self> {
         let max_connections = AtomicUsize::new(limits.client_connections);
         Arc::new(ClientServer {
             handler,
@@ -65,6 +67,7 @@
             shared: Arc::default(),
             accepting: Arc::default(),
             disconnect_watcher: DisconnectWatcher::new(),
+            metrics,
         })
     }
 
--- a/clients/src/server/accept.rs
+++ b/clients/src/server/accept.rs
@@ -3,6 +3,7 @@
 use super::{ClientServer, ConnectionHandler};
 use crate::connection::Connection;
 use crate::listener::ClientListener;
+use routing::reasons::CloseReason;
 use routing::spawn;
 use std::collections::HashMap;
 use std::io;
@@ -84,7 +85,10 @@
         let serve_client = move || server.serve_client(&connection);
         if let Err(e) = spawn("client", self.limits.stack_bytes, serve_client) {
             tracing::error!("clients: no thread for {address}: {e}");
-            self.connections().remove(&id);
+            if let Some(connection) = self.connections().remove(&id) {
+                connection.set_close_reason(CloseReason::NoThread);
+                self.note_closed(&connection);
+            }
         }
     }
 
@@ -103,6 +107,16 @@
             self.shared.remove_connection_with_requests();
         }
         self.connections().remove(&connection.id);
+        self.note_closed(connection);
+    }
+
+    /// Logs and counts why a connection has closed.
+    fn note_closed(&self, connection: &Connection) {
+        let reason = connection.close_reason().name();
+        tracing::debug!(connection = connection.id, reason, "client connection closed");
+        if let Some(metrics) = &self.metrics {
+            metrics.reasons.closed.with_label_values(&[reason]).inc();
+        }
     }
 }
 
--- a/clients/tests/connections/support.rs
+++ b/clients/tests/connections/support.rs
@@ -57,7 +57,7 @@
     ) -> TestServer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let clients = ClientServer::new(Arc::new(Handler(Box::new(handle))), Arc::new(limits));
+        let clients = ClientServer::new(Arc::new(Handler(Box::new(handle))), Arc::new(limits), None);
         let (commands, received_commands) = unbounded();
         let (stopping, stopped) = bounded(1);
         std::thread::spawn(move || {
--- a/clients/tests/in_flight_commands.rs
+++ b/clients/tests/in_flight_commands.rs
@@ -1,5 +1,5 @@
 //! The counter of commands in flight: every order in which the threads of a connection may use it.
-use clients::in_flight_commands::InFlightCommands;
+use routing::permit::CommandGate;
 
 /// A step of one thread. Between two steps of one thread any steps of others may come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,7 +21,7 @@
 /// One connection, and what has happened on it.
 #[derive(Default)]
 struct Model {
-    commands: InFlightCommands,
+    commands: CommandGate,
     accepted: usize,
     written: usize,
     finished: usize,
@@ -46,14 +46,14 @@
         let was_closed = self.commands.is_closed();
         match step {
             Step::Begin => {
-                let accepted = self.commands.try_begin();
+                let accepted = self.commands.permit_command().is_ok();
                 assert_eq!(accepted, !was_closed, "accepted once closed, or rejected before");
                 self.accepted += usize::from(accepted);
                 self.rejected += usize::from(!accepted);
             }
             Step::CheckLast => {
                 let in_flight = self.commands.count();
-                let last = self.commands.close_if_last();
+                let last = self.commands.permit_last_response().is_ok();
                 assert_eq!(last, !was_closed && in_flight == 1);
                 assert_eq!(
                     self.commands.is_closed(),
@@ -70,7 +70,7 @@
                 }
             }
             Step::CloseIfIdle => {
-                let idle = self.commands.close_if_idle();
+                let idle = self.commands.permit_idle_close().is_ok();
                 assert_eq!(
                     self.commands.is_closed(),
                     was_closed || idle,
@@ -97,7 +97,7 @@
             "a response is lost to the close"
         );
         assert!(
-            self.commands.is_closed() && !self.commands.try_begin(),
+            self.commands.is_closed() && self.commands.permit_command().is_err(),
             "a command is accepted after the close"
         );
     }
@@ -161,14 +161,20 @@
 
 #[test]
 fn closed_counter_rejects_commands_and_lets_those_in_flight_finish() {
-    let commands = InFlightCommands::default();
-    assert!(commands.try_begin() && commands.try_begin());
-    assert!(!commands.close_if_last() && !commands.close_if_idle(), "two are in flight");
+    let commands = CommandGate::default();
+    assert!(commands.permit_command().is_ok() && commands.permit_command().is_ok());
+    assert!(
+        commands.permit_last_response().is_err() && commands.permit_idle_close().is_err(),
+        "two are in flight"
+    );
     commands.close();
-    assert!(commands.is_closed() && !commands.try_begin());
+    assert!(commands.is_closed() && commands.permit_command().is_err());
     assert_eq!(commands.count(), 2);
-    assert!(!commands.close_if_last() && !commands.close_if_idle(), "it is closed already");
+    assert!(
+        commands.permit_last_response().is_err() && commands.permit_idle_close().is_err(),
+        "it is closed already"
+    );
     assert!(!commands.finish());
     assert!(commands.finish(), "the last one closes the connection");
-    assert!(!commands.try_begin() && !commands.close_if_idle());
+    assert!(commands.permit_command().is_err() && commands.permit_idle_close().is_err());
 }
--- a/discovery/tests/watch/support.rs
+++ b/discovery/tests/watch/support.rs
@@ -2,8 +2,8 @@
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use discovery::Watch;
 use routing::{
-    AttemptGuard, BackendProtocol, Connection, EndpointUpdate, EndpointsHandle, Exchange, ExchangeResult,
-    NotSent, Outcome, RouterMessage,
+    AttemptGuard, BackendProtocol, Connection, ConnectionPermit, EndpointUpdate, EndpointsHandle, Exchange,
+    ExchangeResult, NotSent, Outcome, RouterMessage, ServerSocket,
 };
 use settings::Limits;
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -233,24 +233,24 @@
 pub(crate) struct NoProtocol;
 
 /// A connection that is never made.
-pub(crate) struct NoConnection(Arc<TcpStream>);
+pub(crate) struct NoConnection(ServerSocket);
 
 impl BackendProtocol for NoProtocol {
     type Payload = ();
     type Response = ();
     type Connection = NoConnection;
 
-    fn connect(&self, _: SocketAddr) -> Result<NoConnection, Outcome> {
+    fn connect(&self, _: SocketAddr, _: ConnectionPermit) -> Result<NoConnection, Outcome> {
         unreachable!("no instance is asked")
     }
 }
 
 impl Connection<NoProtocol> for NoConnection {
-    fn socket(&self) -> Arc<TcpStream> {
+    fn socket(&self) -> ServerSocket {
         self.0.clone()
     }
 
-    fn is_usable(&mut self, _: Duration) -> bool {
+    fn is_usable(&mut self, _: Duration, _: ConnectionPermit) -> bool {
         false
     }
 
--- a/mysql/src/front.rs
+++ b/mysql/src/front.rs
@@ -380,6 +380,7 @@
         }
         let (answer, given) = bounded(1);
         let incoming = ClientRequest {
+            connection: self.connection.id,
             class,
             tenant,
             session: None,
--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -3,18 +3,18 @@
 use crate::auth::{self, Answer as Login, Greeting};
 use crate::command;
 use crate::errors::{self, Meaning};
-use crate::packet::{Broken, Fields, Packet, Reader, push, write_command, write_ready};
+use crate::packet::{Broken, Fields, Packet, Reader, push, with_command, write_ready};
 use crate::results::{State, text_row};
-use routing::socket::{DeadlineReader, connect_to_endpoint, is_idle_and_open};
+use routing::socket::DeadlineReader;
 use routing::{
-    AttemptGuard, BackendProtocol, Clock, Connection, Exchange, ExchangeResult, MemberReport, NotSent,
-    Outcome, Time,
+    AttemptGuard, BackendProtocol, Clock, Connection, ConnectionPermit, Exchange, ExchangeResult, Handshake,
+    MemberReport, NotSent, Outcome, ServerSocket, Time, WritePermit,
 };
 use sessions::clocks::{Clocks, Offset};
 use settings::Limits;
 use settings::operator::Mysql as Settings;
 use std::collections::{BTreeMap, VecDeque};
-use std::io;
+use std::io::{self, IoSlice};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -76,7 +76,7 @@
 
 /// A connection to a server.
 pub struct MysqlLink {
-    socket: Arc<TcpStream>,
+    socket: ServerSocket,
     reader: Reader,
     /// The work at hand is waited for up to this moment, however slowly its answer trickles.
     until: Instant,
@@ -115,11 +115,11 @@
     type Response = Payloads;
     type Connection = MysqlLink;
 
-    fn connect(&self, addr: SocketAddr) -> Result<MysqlLink, Outcome> {
+    fn connect(&self, addr: SocketAddr, permit: ConnectionPermit) -> Result<MysqlLink, Outcome> {
         let until = Instant::now() + self.limits.connect;
-        let socket = connect_to_endpoint(addr, &self.limits).map_err(|_| Outcome::ConnectFailed)?;
+        let handshake = Handshake::connect(permit, addr, &self.limits).map_err(|_| Outcome::ConnectFailed)?;
         let mut reader = Reader::new(self.limits.answer_bytes);
-        login(&socket, &mut reader, &self.credentials, until).map_err(|e| match errors::meaning(e.0) {
+        login(&handshake, &mut reader, &self.credentials, until).map_err(|e| match errors::meaning(e.0) {
             Meaning::Outcome(Outcome::Rejected) => Outcome::Rejected,
             _ => {
                 tracing::warn!("server {addr}: no login: {}", e.1);
@@ -127,27 +127,62 @@
             }
         })?;
         let (settings, limits) = (self.settings.clone(), self.limits.clone());
-        let (socket, prepared) = (Arc::new(socket), VecDeque::new());
+        let socket = handshake.finish().map_err(|_| Outcome::ConnectFailed)?;
+        let prepared = VecDeque::new();
         let clocks = self.clocks.clone();
         Ok(MysqlLink { socket, reader, until, settings, limits, clock: self.clock, clocks, addr, prepared })
     }
 }
 
+/// A connection that logs in: a router's to a server, or a client's to a router.
+pub trait LoginSocket {
+    /// Reads up to a deadline.
+    ///
+    /// # Errors
+    /// The connection can't be read.
+    fn reader(&self, until: Instant) -> io::Result<DeadlineReader<'_>>;
+
+    /// Writes bytes that stand ready.
+    ///
+    /// # Errors
+    /// The write failed or timed out.
+    fn write(&self, bytes: &[u8]) -> io::Result<()>;
+}
+
+impl LoginSocket for TcpStream {
+    fn reader(&self, until: Instant) -> io::Result<DeadlineReader<'_>> {
+        Ok(DeadlineReader::new(self, until))
+    }
+
+    fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        write_ready(self, bytes)
+    }
+}
+
+impl LoginSocket for Handshake {
+    fn reader(&self, until: Instant) -> io::Result<DeadlineReader<'_>> {
+        Handshake::reader(self, until)
+    }
+
+    fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        Handshake::write(self, &mut [IoSlice::new(bytes)])
+    }
+}
+
 /// Logs in up to a moment; an error is a server's code, or 0, and a text.
 ///
 /// # Errors
 /// Where the server does not let it in, or not in time.
 pub fn login(
-    socket: &TcpStream,
+    socket: &impl LoginSocket,
     reader: &mut Reader,
     credentials: &Credentials,
     until: Instant,
 ) -> Result<(), (u16, String)> {
     let own = |text: &str| (0, text.to_string());
     let next = |reader: &mut Reader| -> Result<Packet, (u16, String)> {
-        let packet = reader
-            .next(DeadlineReader::new(socket, until))
-            .map_err(|e| (0, format!("the connection failed: {e:?}")))?;
+        let from = socket.reader(until).map_err(|e| (0, format!("the connection failed: {e}")))?;
+        let packet = reader.next(from).map_err(|e| (0, format!("the connection failed: {e:?}")))?;
         match errors::code(&packet.payload) {
             Some(code) => Err((code, format!("error {code}"))),
             None => Ok(packet),
@@ -175,7 +210,7 @@
     let send = |after: u8, payload: &[u8]| {
         let mut bytes = Vec::new();
         push(&mut bytes, after.wrapping_add(1), payload);
-        write_ready(socket, &bytes).map_err(|e| (0, format!("the connection failed: {e}")))
+        socket.write(&bytes).map_err(|e| (0, format!("the connection failed: {e}")))
     };
     send(greeting.last, &answer.write())?;
     loop {
@@ -199,12 +234,12 @@
 }
 
 impl Connection<Mysql> for MysqlLink {
-    fn socket(&self) -> Arc<TcpStream> {
+    fn socket(&self) -> ServerSocket {
         self.socket.clone()
     }
 
-    fn is_usable(&mut self, rested: Duration) -> bool {
-        rested < self.limits.link_trust && self.reader.is_empty() && is_idle_and_open(&self.socket)
+    fn is_usable(&mut self, rested: Duration, _permit: ConnectionPermit) -> bool {
+        rested < self.limits.link_trust && self.is_quiet()
     }
 
     fn execute(
@@ -231,10 +266,8 @@
                 Ok(self.reply(answer))
             }
             Exchange::Attempt(Payload::Prepare(text), _) => {
-                if !stop.try_start() {
-                    return Err(NotSent::Cancelled);
-                }
-                match self.prepare(text) {
+                let permit = stop.permit_write().map_err(|_| NotSent::Cancelled)?;
+                match self.prepare(text, &permit) {
                     Ok(answer) => Ok(self.reply(Ok(answer))),
                     // Preparing runs nothing: a server that dies over it leaves the next one to ask.
                     Err(Cut::Broken(_)) => Err(NotSent::ConnectionBroken),
@@ -251,19 +284,22 @@
 impl MysqlLink {
     /// Writes a command's only packet, unless it is stopped.
     fn begin(&mut self, stop: &AttemptGuard, parts: &[&[u8]]) -> Result<(), NotSent> {
-        if !stop.try_start() {
-            return Err(NotSent::Cancelled);
-        }
-        write_command(&self.socket, parts).map_err(|_| NotSent::ConnectionBroken)?;
-        stop.mark_sent();
-        Ok(())
+        let permit = stop.permit_write().map_err(|_| NotSent::Cancelled)?;
+        with_command(parts, |slices| self.socket.write_last(permit, slices))
+            .map_err(|_| NotSent::ConnectionBroken)
+    }
+
+    /// Whether nothing has come on the connection that nobody asked for, and it is open.
+    fn is_quiet(&self) -> bool {
+        self.reader.is_empty() && self.socket.is_idle_and_open()
     }
 
     /// Prepares a statement, whatever of it stands here already; its answer comes back.
-    fn prepare(&mut self, text: &Arc<[u8]>) -> Result<Payloads, Cut> {
+    fn prepare(&mut self, text: &Arc<[u8]>, permit: &WritePermit) -> Result<Payloads, Cut> {
         let gone = |_| Cut::Broken(Outcome::Reset);
-        write_command(&self.socket, &[&[command::STMT_PREPARE], text]).map_err(gone)?;
-        let first = self.reader.next(DeadlineReader::new(&self.socket, self.until))?.payload;
+        with_command(&[&[command::STMT_PREPARE], text], |slices| self.socket.write_part(permit, slices))
+            .map_err(gone)?;
+        let first = self.reader.next(self.socket.reader(self.until))?.payload;
         let mut f = Fields(&first);
         let (Some(0), Some(id), Some(columns), Some(parameters)) =
             (f.number(1), f.number(4), f.number(2), f.number(2))
@@ -278,25 +314,27 @@
         let mut follow = [parameters, columns].iter().map(|n| if *n > 0 { n + 1 } else { 0 }).sum::<u64>();
         let mut answer = vec![first];
         while follow > 0 {
-            answer.push(self.reader.next(DeadlineReader::new(&self.socket, self.until))?.payload);
+            answer.push(self.reader.next(self.socket.reader(self.until))?.payload);
             follow -= 1;
         }
         if self.prepared.len() >= self.limits.statements_per_link
             && let Some((_, old, _)) = self.prepared.pop_front()
         {
-            self.close(old).map_err(gone)?;
+            self.close(old, permit).map_err(gone)?;
         }
         if let Some(at) = self.prepared.iter().position(|(t, ..)| t == text)
             && let Some((_, old, _)) = self.prepared.remove(at)
         {
-            self.close(old).map_err(gone)?;
+            self.close(old, permit).map_err(gone)?;
         }
         self.prepared.push_back((text.clone(), id as u32, parameters as usize));
         Ok(answer)
     }
 
-    fn close(&self, id: u32) -> io::Result<()> {
-        write_command(&self.socket, &[&[command::STMT_CLOSE], &id.to_le_bytes()])
+    fn close(&self, id: u32, permit: &WritePermit) -> io::Result<()> {
+        with_command(&[&[command::STMT_CLOSE], &id.to_le_bytes()], |slices| {
+            self.socket.write_part(permit, slices)
+        })
     }
 
     fn execute_statement(
@@ -311,30 +349,33 @@
             let known = self.prepared.iter().find(|(t, ..)| t == text).map(|(_, id, _)| *id);
             let id = match known {
                 Some(id) => id,
-                // Nothing new, not even this, to a server that drains.
-                None if !stop.try_start() => return Err(NotSent::Cancelled),
-                None => match self.prepare(text) {
-                    // Up to here nothing has run: whatever broke, the execution may go elsewhere.
-                    Err(_) => return Err(NotSent::ConnectionBroken),
-                    Ok(answer) if errors::code(&answer[0]).is_some() => return Ok(self.reply(Ok(answer))),
-                    // A server that died over the preparing has closed by now as a rule: nothing is written to it.
-                    Ok(_) if !self.is_usable(Duration::ZERO) => return Err(NotSent::ConnectionBroken),
-                    Ok(_) => continue,
-                },
+                None => {
+                    // Nothing new, not even this, to a server that drains.
+                    let permit = stop.permit_write().map_err(|_| NotSent::Cancelled)?;
+                    match self.prepare(text, &permit) {
+                        // Up to here nothing has run: whatever broke, the execution may go elsewhere.
+                        Err(_) => return Err(NotSent::ConnectionBroken),
+                        Ok(answer) if errors::code(&answer[0]).is_some() => {
+                            return Ok(self.reply(Ok(answer)));
+                        }
+                        // A server that died over the preparing has closed by now as a rule: nothing is written to it.
+                        Ok(_) if !self.is_quiet() => return Err(NotSent::ConnectionBroken),
+                        Ok(_) => continue,
+                    }
+                }
             };
             // Asked before the first of them, and not again: a server keeps them for the next execution, so a link that
             // stays warm must not have sent any without theirs.
-            if !stop.try_start() {
-                return Err(NotSent::Cancelled);
-            }
+            let permit = stop.permit_write().map_err(|_| NotSent::Cancelled)?;
             for (parameter, bytes) in long {
                 let head = [&[command::STMT_SEND_LONG_DATA][..], &id.to_le_bytes(), &parameter.to_le_bytes()]
                     .concat();
-                write_command(&self.socket, &[&head, bytes]).map_err(|_| NotSent::ConnectionBroken)?;
+                with_command(&[&head, bytes], |slices| self.socket.write_part(&permit, slices))
+                    .map_err(|_| NotSent::ConnectionBroken)?;
             }
             let execution: &[&[u8]] = &[&[command::STMT_EXECUTE], &id.to_le_bytes(), body];
-            write_command(&self.socket, execution).map_err(|_| NotSent::ConnectionBroken)?;
-            stop.mark_sent();
+            with_command(execution, |slices| self.socket.write_last(permit, slices))
+                .map_err(|_| NotSent::ConnectionBroken)?;
             let answer = self.answer();
             let unknown = answer.as_ref().is_ok_and(|a| {
                 errors::code(&a[0]).is_some_and(|c| errors::meaning(c) == Meaning::PrepareAnew)
@@ -358,7 +399,7 @@
     fn answer(&mut self) -> Result<Payloads, Cut> {
         let (mut state, mut answer, mut length, mut expected) = (State::Start, Vec::new(), 0, 1);
         loop {
-            let packet = self.reader.next(DeadlineReader::new(&self.socket, self.until))?;
+            let packet = self.reader.next(self.socket.reader(self.until))?;
             // Out of sequence it belongs to something else, or to nothing.
             if packet.first != expected {
                 return Err(Cut::Broken(Outcome::Error));
--- a/mysql/src/packet.rs
+++ b/mysql/src/packet.rs
@@ -132,20 +132,31 @@
     }
 }
 
-/// Writes one command, its parts gathered.
-pub fn write_command(to: &TcpStream, parts: &[&[u8]]) -> io::Result<()> {
+/// Hands one command, its parts gathered, to `write`.
+///
+/// # Errors
+/// Those of `write`.
+pub fn with_command(
+    parts: &[&[u8]],
+    write: impl FnOnce(&mut [IoSlice<'_>]) -> io::Result<()>,
+) -> io::Result<()> {
     let length: usize = parts.iter().map(|p| p.len()).sum();
     if length >= MOST {
         let mut whole = Vec::with_capacity(length + 16);
         push(&mut whole, 0, &parts.concat());
-        return routing::socket::write_all_vectored(to, &mut [IoSlice::new(&whole)]);
+        return write(&mut [IoSlice::new(&whole)]);
     }
     let head = (length as u32).to_le_bytes();
     let head = [head[0], head[1], head[2], 0];
     let mut slices = Vec::with_capacity(parts.len() + 1);
     slices.push(IoSlice::new(&head));
     slices.extend(parts.iter().map(|p| IoSlice::new(p)));
-    routing::socket::write_all_vectored(to, &mut slices)
+    write(&mut slices)
+}
+
+/// Writes one command as a client does, its parts gathered.
+pub fn write_command(to: &TcpStream, parts: &[&[u8]]) -> io::Result<()> {
+    with_command(parts, |slices| routing::socket::write_all_vectored(to, slices))
 }
 
 /// Writes bytes that stand ready.
--- a/mysql/src/watch.rs
+++ b/mysql/src/watch.rs
@@ -25,6 +25,8 @@
 }
 
 fn asked(wire: &Mysql, addr: SocketAddr) -> bool {
-    let Ok(mut link) = wire.connect(addr) else { return false };
-    link.execute(Exchange::Probe, &AttemptGuard::default()).is_ok_and(|r| r.outcome == Outcome::Ok)
+    let guard = AttemptGuard::default();
+    let Ok(permit) = guard.permit_connection() else { return false };
+    let Ok(mut link) = wire.connect(addr, permit) else { return false };
+    link.execute(Exchange::Probe, &guard).is_ok_and(|r| r.outcome == Outcome::Ok)
 }
--- a/mysql/tests/trickle.rs
+++ b/mysql/tests/trickle.rs
@@ -1,6 +1,6 @@
 //! A server that brings a byte now and then, for ever, holds nobody beyond their time. Over real loopback sockets.
 use mysql_wire::link::Mysql;
-use routing::protocol::{AttemptGuard, BackendProtocol, Connection, Exchange};
+use routing::protocol::{AttemptGuard, BackendProtocol, Connection, ConnectionPermit, Exchange};
 use routing::{Clock, Outcome};
 use settings::operator;
 use standins::wire::{greet, read};
@@ -39,7 +39,7 @@
 fn a_greeting_that_never_ends_is_given_up_by_the_time_of_a_connection() {
     let addr = server(trickle);
     let begun = Instant::now();
-    assert_eq!(wire().connect(addr).err(), Some(Outcome::ConnectFailed));
+    assert_eq!(wire().connect(addr, permit()).err(), Some(Outcome::ConnectFailed));
     assert!(begun.elapsed() < FAR, "{:?}", begun.elapsed());
 }
 
@@ -50,9 +50,14 @@
         read(socket).unwrap();
         trickle(socket);
     });
-    let mut link = wire().connect(addr).ok().unwrap();
+    let mut link = wire().connect(addr, permit()).ok().unwrap();
     let begun = Instant::now();
     let reply = link.execute(Exchange::Probe, &AttemptGuard::default()).ok().unwrap();
     assert_eq!((reply.outcome, reply.reusable), (Outcome::TimedOut, false));
     assert!(begun.elapsed() < FAR, "{:?}", begun.elapsed());
 }
+
+/// A permit to open a connection.
+fn permit() -> ConnectionPermit {
+    AttemptGuard::default().permit_connection().unwrap()
+}
--- a/mysql/tests/withdrawn.rs
+++ b/mysql/tests/withdrawn.rs
@@ -1,7 +1,8 @@
 //! What a server gets of an execution that was withdrawn, over real loopback sockets.
 use mysql_wire::command;
 use mysql_wire::link::{Mysql, MysqlLink, Payload};
-use routing::protocol::{AttemptGuard, BackendProtocol, Connection, Exchange, NotSent};
+use routing::Denial;
+use routing::protocol::{AttemptGuard, BackendProtocol, Connection, ConnectionPermit, Exchange, NotSent};
 use routing::{Clock, Outcome};
 use settings::operator;
 use standins::wire::{OK, greet, packets, read};
@@ -37,7 +38,7 @@
     });
     let operator = operator::read(include_str!("../../deploy/mysql.toml")).unwrap();
     let wire = Mysql::new(Arc::new(operator.mysql), Arc::new(operator.limits), Clock::new());
-    (wire.connect(addr).ok().unwrap(), hears)
+    (wire.connect(addr, permit()).ok().unwrap(), hears)
 }
 
 fn execution(long: &[u8]) -> Payload {
@@ -55,7 +56,7 @@
 
 fn withdrawn() -> AttemptGuard {
     let stop = AttemptGuard::default();
-    stop.cancel_if_unstarted();
+    stop.cancel_if_unstarted(Denial::ClientLeft);
     stop
 }
 
@@ -78,3 +79,8 @@
     drop(link);
     assert_eq!(hears.into_iter().count(), 0);
 }
+
+/// A permit to open a connection.
+fn permit() -> ConnectionPermit {
+    AttemptGuard::default().permit_connection().unwrap()
+}
--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -9,6 +9,7 @@
 use crate::statement::Statement;
 use clients::{Connection, ConnectionHandler, SocketState, is_timeout};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
+use routing::reasons::CloseReason;
 use routing::{
     ClientRequest, FinalResponse, GroupId, Outcome, RequestId, RouterHandle, SessionId, Settings, Time, spawn,
 };
@@ -186,6 +187,7 @@
             }
         };
         if let End::Broken(e) = &end {
+            connection.set_close_reason(CloseReason::Malformed);
             tracing::debug!("client {}: {e}", connection.id);
         }
         match (end, &writer) {
@@ -400,6 +402,7 @@
         });
         let (answer, given) = bounded(1);
         let incoming = ClientRequest {
+            connection: opened.connection.id,
             class,
             tenant: None,
             session,
@@ -413,7 +416,11 @@
         };
         opened.request = opened.connection.submit(|| self.handle.submit(incoming));
         match opened.request {
-            Some(_) => Ok((given, opened)),
+            Some(request) => {
+                let (connection, id) = (opened.connection.id, opened.id.escape_ascii());
+                tracing::debug!(request = request.0, connection, %id, "request named");
+                Ok((given, opened))
+            }
             None => Err(Unsubmitted::Departed),
         }
     }
@@ -500,6 +507,9 @@
     connection.prepare_response();
     let written = write_gathered(&connection.socket, &[text]);
     connection.finish_command();
+    if written.is_err() {
+        connection.set_close_reason(CloseReason::ClientStalled);
+    }
     written.is_ok()
 }
 
--- a/postgres/src/link.rs
+++ b/postgres/src/link.rs
@@ -1,12 +1,14 @@
 //! The link to an instance: one request at a time on a connection that stays open between them.
 use crate::answer::{BESIDE, End, Parser};
-use crate::message::{Buffer, error, push, write_gathered};
+use crate::message::{Buffer, error, push, slices};
 use crate::statement::Statement;
-use routing::socket::{DeadlineReader, connect_to_endpoint, is_idle_and_open};
-use routing::{AttemptGuard, BackendProtocol, Clock, Connection, Exchange, ExchangeResult, NotSent, Outcome};
+use routing::{
+    AttemptGuard, BackendProtocol, Clock, Connection, ConnectionPermit, Exchange, ExchangeResult, Handshake,
+    NotSent, Outcome, ServerSocket,
+};
 use settings::Limits;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -25,7 +27,7 @@
 
 /// A connection to an instance.
 pub struct PostgresLink {
-    socket: Arc<TcpStream>,
+    socket: ServerSocket,
     buffer: Buffer,
     limits: Arc<Limits>,
     clock: Clock,
@@ -37,17 +39,19 @@
     type Response = Vec<u8>;
     type Connection = PostgresLink;
 
-    fn connect(&self, addr: SocketAddr) -> Result<PostgresLink, Outcome> {
+    fn connect(&self, addr: SocketAddr, permit: ConnectionPermit) -> Result<PostgresLink, Outcome> {
         let failed = |_: io::Error| Outcome::ConnectFailed;
         // As a whole: an instance that accepts late has less time for its greeting.
         let until = Instant::now() + self.limits.connect;
-        let socket = connect_to_endpoint(addr, &self.limits).map_err(failed)?;
-        write_gathered(&socket, &[b"\0\0\0\x26\0\x03\0\0user\0worker\0database\0catalog\0\0"])
+        let handshake = Handshake::connect(permit, addr, &self.limits).map_err(failed)?;
+        handshake
+            .write(&mut slices(&[b"\0\0\0\x26\0\x03\0\0user\0worker\0database\0catalog\0\0"]))
             .map_err(failed)?;
         let mut buffer = Buffer::new(BESIDE);
         let mut left = BESIDE;
         loop {
-            let Some(frame) = buffer.next(DeadlineReader::new(&socket, until)).map_err(failed)? else {
+            let reader = handshake.reader(until).map_err(failed)?;
+            let Some(frame) = buffer.next(reader).map_err(failed)? else {
                 return Err(Outcome::ConnectFailed);
             };
             let body = buffer.get(frame.body());
@@ -64,18 +68,19 @@
         }
         let buffer = Buffer::new(self.limits.value_bytes + BESIDE);
         let (limits, clock) = (self.limits.clone(), self.clock);
-        Ok(PostgresLink { socket: Arc::new(socket), buffer, limits, clock })
+        let socket = handshake.finish().map_err(failed)?;
+        Ok(PostgresLink { socket, buffer, limits, clock })
     }
 }
 
 impl Connection<Postgres> for PostgresLink {
-    fn socket(&self) -> Arc<TcpStream> {
+    fn socket(&self) -> ServerSocket {
         self.socket.clone()
     }
 
-    fn is_usable(&mut self, rested: Duration) -> bool {
-        let quiet = self.buffer.is_empty() && is_idle_and_open(&self.socket);
-        quiet && (rested < self.limits.link_trust || self.echoes())
+    fn is_usable(&mut self, rested: Duration, permit: ConnectionPermit) -> bool {
+        let quiet = self.buffer.is_empty() && self.socket.is_idle_and_open();
+        quiet && (rested < self.limits.link_trust || self.echoes(permit))
     }
 
     fn execute(
@@ -83,55 +88,54 @@
         work: Exchange<'_, Postgres>,
         stop: &AttemptGuard,
     ) -> Result<ExchangeResult<Vec<u8>>, NotSent> {
+        // An error that comes as the instance ends the connection would be taken for this work's answer.
+        if !self.socket.is_idle_and_open() {
+            return Err(NotSent::ConnectionBroken);
+        }
+        let permit = stop.permit_write().map_err(|_| NotSent::Cancelled)?;
+        // Read behind the permit: what is told is what is left when the bytes go out.
         let now = Instant::now();
-        let (digits, at, until);
-        let mut probe = Vec::new();
-        let parts = match work {
-            Exchange::Attempt(statement, until_then) => {
-                let left = until_then.saturating_duration_since(now);
-                digits = left.as_millis().max(1).to_string();
-                (at, until) = (until_then, now + left + self.limits.link_backstop);
-                Some((statement, statement.with_wait(&digits)))
+        let (probe, until, written) = match work {
+            Exchange::Attempt(statement, at) => {
+                let left = at.saturating_duration_since(now);
+                let digits = left.as_millis().max(1).to_string();
+                let (head, [before, after]) = statement.with_wait(&digits);
+                let parts = &mut slices(&[&head, before, digits.as_bytes(), after]);
+                let until = Deadlines { useful: at, listen: now + left + self.limits.link_backstop };
+                (false, until, self.socket.write_last(permit, parts))
             }
             Exchange::Probe => {
+                let mut probe = Vec::new();
                 push(&mut probe, b'Q', &[b"SHOW stats\0"]);
-                digits = String::new();
-                (at, until) = (now + self.limits.probe, now + self.limits.probe);
-                None
+                let at = now + self.limits.probe;
+                let written = self.socket.write_last(permit, &mut slices(&[&probe]));
+                (true, Deadlines { useful: at, listen: at }, written)
             }
         };
-        // An error that comes as the instance ends the connection would be taken for this work's answer.
-        if !is_idle_and_open(&self.socket) {
-            return Err(NotSent::ConnectionBroken);
-        }
-        if !stop.try_start() {
-            return Err(NotSent::Cancelled);
-        }
-        let written = match &parts {
-            Some((_, (head, [before, after]))) => {
-                write_gathered(&self.socket, &[head, before, digits.as_bytes(), after])
-            }
-            None => write_gathered(&self.socket, &[&probe]),
-        };
         if written.is_err() {
             return Err(NotSent::ConnectionBroken);
         }
-        stop.mark_sent();
-        Ok(self.reply(parts.is_none(), at, until))
+        Ok(self.reply(probe, &until))
     }
 }
 
+/// Up to when an answer is of use, and up to when it is listened for.
+struct Deadlines {
+    useful: Instant,
+    listen: Instant,
+}
+
 impl PostgresLink {
     /// Asks with an empty query, which has no effect and is answered at once: a connection that was forgotten on the
     /// way brings a reset or nothing, before a request is lost on it.
-    fn echoes(&mut self) -> bool {
-        if write_gathered(&self.socket, &[b"Q\0\0\0\x05\0"]).is_err() {
+    fn echoes(&mut self, permit: ConnectionPermit) -> bool {
+        if self.socket.write_check(permit, &mut slices(&[b"Q\0\0\0\x05\0"])).is_err() {
             return false;
         }
         let until = Instant::now() + self.limits.link_check;
         let mut empty = false;
         loop {
-            let Ok(Some(frame)) = self.buffer.next(DeadlineReader::new(&self.socket, until)) else {
+            let Ok(Some(frame)) = self.buffer.next(self.socket.reader(until)) else {
                 return false;
             };
             match frame.tag {
@@ -143,11 +147,12 @@
         }
     }
 
-    /// Reads one answer. Of use is it up to `at`; listened for is it up to `until`.
-    fn reply(&mut self, probe: bool, at: Instant, mut until: Instant) -> ExchangeResult<Vec<u8>> {
+    /// Reads one answer.
+    fn reply(&mut self, probe: bool, deadlines: &Deadlines) -> ExchangeResult<Vec<u8>> {
+        let mut until = deadlines.listen;
         let (mut parser, mut settling) = (Parser::new(probe, self.limits.value_bytes), false);
         let end = loop {
-            let frame = match self.buffer.next(DeadlineReader::new(&self.socket, until)) {
+            let frame = match self.buffer.next(self.socket.reader(until)) {
                 Ok(Some(f)) => f,
                 Ok(None) => break End::Closed,
                 Err(e) => match e.kind() {
@@ -161,10 +166,10 @@
             }
             if !settling && parser.complete() {
                 // The client's answer is here. What the rest of it takes must not cost the client that: the module
-                // stops waiting at the moment `at`, whatever has come by then.
+                // stops waiting when it is of no use any more, whatever has come by then.
                 settling = true;
                 let now = Instant::now();
-                let left = at.saturating_duration_since(now) / 2;
+                let left = deadlines.useful.saturating_duration_since(now) / 2;
                 until = until.min(now + left.min(self.limits.answer_settle));
             }
         };
--- a/postgres/src/message.rs
+++ b/postgres/src/message.rs
@@ -274,8 +274,12 @@
     !tag.is_empty() && tag.iter().all(|b| b.is_ascii_graphic() || *b == b' ')
 }
 
-/// Writes all parts, gathered into as few calls as the socket takes them in.
+/// Parts as a gathered write takes them.
+pub fn slices<'a>(parts: &[&'a [u8]]) -> Vec<IoSlice<'a>> {
+    parts.iter().map(|p| IoSlice::new(p)).collect()
+}
+
+/// Writes all parts to a client, gathered into as few calls as the socket takes them in.
 pub fn write_gathered(to: &TcpStream, parts: &[&[u8]]) -> io::Result<()> {
-    let mut slices: Vec<IoSlice<'_>> = parts.iter().map(|p| IoSlice::new(p)).collect();
-    routing::socket::write_all_vectored(to, &mut slices)
+    routing::socket::write_all_vectored(to, &mut slices(parts))
 }
--- a/postgres/tests/answers.rs
+++ b/postgres/tests/answers.rs
@@ -1,6 +1,6 @@
 //! Answers of instances that are cut at every byte, in every way: what is told of them, and what their link is good for.
 mod common;
-use common::{CUTS, Cut, LONG, attempt, cut, error, heard, limits, link, message, probe, ready, row};
+use common::{CUTS, Cut, LONG, attempt, cut, error, heard, limits, link, message, permit, probe, ready, row};
 use routing::protocol::{Connection, ExchangeResult};
 use routing::{Outcome, Time};
 use std::io::{Read, Write};
@@ -112,7 +112,7 @@
     if reply.reusable && how != Cut::Silent {
         // The end that follows is found before the link is used again.
         let begun = Instant::now();
-        while link.is_usable(Duration::ZERO) {
+        while link.is_usable(Duration::ZERO, permit()) {
             assert!(begun.elapsed() < LONG);
             std::thread::yield_now();
         }
--- a/postgres/tests/common/mod.rs
+++ b/postgres/tests/common/mod.rs
@@ -3,7 +3,9 @@
 use postgres::link::{Postgres, PostgresLink};
 use postgres::statement::Statement;
 use routing::Outcome;
-use routing::protocol::{AttemptGuard, BackendProtocol, Connection, Exchange, ExchangeResult, NotSent};
+use routing::protocol::{
+    AttemptGuard, BackendProtocol, Connection, ConnectionPermit, Exchange, ExchangeResult, NotSent,
+};
 use settings::Limits;
 use socket2::SockRef;
 use std::io::{Read, Write};
@@ -95,7 +97,12 @@
 }
 
 pub fn open(limits: &Limits, addr: SocketAddr) -> Result<PostgresLink, Outcome> {
-    Postgres::new(Arc::new(limits.clone())).connect(addr)
+    Postgres::new(Arc::new(limits.clone())).connect(addr, permit())
+}
+
+/// A permit to open or check a connection.
+pub fn permit() -> ConnectionPermit {
+    AttemptGuard::default().permit_connection().unwrap()
 }
 
 /// A link to an instance that has greeted; the script goes on from there.
--- a/postgres/tests/leaving.rs
+++ b/postgres/tests/leaving.rs
@@ -58,7 +58,7 @@
         };
         let (handle, _list) = start.start().unwrap();
         let front = Front::new(handle, own, &names, &settings());
-        let clients = ClientServer::new(front, limits);
+        let clients = ClientServer::new(front, limits, None);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let (to, orders) = bounded(1);
--- a/postgres/tests/links.rs
+++ b/postgres/tests/links.rs
@@ -1,12 +1,12 @@
 //! Links to instances: how they open, whether they stand, and what comes on one that rests.
 mod common;
 use common::{
-    CUTS, Cut, LONG, attempt, cut, error, heard, instance, limits, link, message, open, probe, ready, row,
-    startup,
+    CUTS, Cut, LONG, attempt, cut, error, heard, instance, limits, link, message, open, permit, probe, ready,
+    row, startup,
 };
 use postgres::link::Postgres;
-use routing::Outcome;
 use routing::protocol::{BackendProtocol, Connection, NotSent};
+use routing::{Outcome, ServerSocket};
 use settings::Limits;
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
@@ -39,17 +39,17 @@
 #[test]
 fn a_link_that_has_rested_for_long_is_asked_across_and_one_at_work_is_not() {
     let (mut l, hears) = answering(&[ECHO, ECHO]);
-    assert!(l.is_usable(Duration::ZERO));
-    assert!(l.is_usable(Duration::from_secs(5)), "the instance answers across it");
-    assert!(l.is_usable(Duration::from_secs(5)), "and may be asked again");
+    assert!(l.is_usable(Duration::ZERO, permit()));
+    assert!(l.is_usable(Duration::from_secs(5), permit()), "the instance answers across it");
+    assert!(l.is_usable(Duration::from_secs(5), permit()), "and may be asked again");
     assert_eq!(hears.try_iter().collect::<Vec<_>>(), [EMPTY, EMPTY], "the fresh one was taken as it is");
 }
 
 #[test]
 fn a_link_that_was_forgotten_or_answers_something_else_is_not_used() {
     let (mut l, _hears) = answering(&[]);
-    assert!(l.is_usable(Duration::ZERO), "nothing shows that it was forgotten");
-    assert!(!l.is_usable(Duration::from_secs(5)));
+    assert!(l.is_usable(Duration::ZERO, permit()), "nothing shows that it was forgotten");
+    assert!(!l.is_usable(Duration::from_secs(5), permit()));
     let row_behind = Box::leak([ECHO, &row("x").concat()].concat().into_boxed_slice());
     for odd in [
         &b"Z\0\0\0\x05I"[..],
@@ -61,7 +61,7 @@
         row_behind,
     ] {
         let (mut l, _hears) = answering(Box::leak(Box::new([odd])));
-        assert!(!l.is_usable(Duration::from_secs(5)), "{odd:?}");
+        assert!(!l.is_usable(Duration::from_secs(5), permit()), "{odd:?}");
     }
 }
 
@@ -79,7 +79,7 @@
                         heard(socket);
                         cut(socket, &bytes, how);
                     });
-                    assert_eq!(l.is_usable(LONG), at == all, "{how:?} after {at} bytes");
+                    assert_eq!(l.is_usable(LONG, permit()), at == all, "{how:?} after {at} bytes");
                 });
             }
         });
@@ -94,7 +94,7 @@
         heard(socket);
         while (&*socket).write_all(&message(b'N', &[b'x'; 8 * 1024])).is_ok() {}
     });
-    assert!(!l.is_usable(LONG));
+    assert!(!l.is_usable(LONG, permit()));
 }
 
 #[test]
@@ -138,7 +138,7 @@
             to.send(heard(socket)).unwrap();
         });
         // The look at the resting link comes first, the stray message right behind it.
-        assert!(l.is_usable(Duration::ZERO), "{name}");
+        assert!(l.is_usable(Duration::ZERO, permit()), "{name}");
         strike.send(()).unwrap();
         arrived(&l.socket());
         let until = Instant::now() + LONG;
@@ -149,9 +149,12 @@
 }
 
 /// Waits until something can be read.
-fn arrived(socket: &TcpStream) {
-    socket.set_read_timeout(Some(LONG)).unwrap();
-    assert_eq!(socket.peek(&mut [0]).unwrap(), 1);
+fn arrived(socket: &ServerSocket) {
+    let begun = Instant::now();
+    while socket.is_idle_and_open() {
+        assert!(begun.elapsed() < LONG, "nothing arrived");
+        std::thread::yield_now();
+    }
 }
 
 #[test]
@@ -265,7 +268,7 @@
     limits.connect = Duration::from_millis(1600);
     let opening = std::thread::spawn(move || {
         let begun = Instant::now();
-        (Postgres::new(Arc::new(limits)).connect(addr).err(), begun.elapsed())
+        (Postgres::new(Arc::new(limits)).connect(addr, permit()).err(), begun.elapsed())
     });
     let begun = Instant::now();
     while !waits_for(addr) {
--- a/routing/src/backends/backend.rs
+++ b/routing/src/backends/backend.rs
@@ -1,10 +1,10 @@
 //! One backend: the idle connections to one endpoint, and the start of exchanges on them or on new ones.
 use super::BackendResources;
 use super::exchange::{Context, Task, run};
-use crate::attempt_guard::AttemptGuard;
 use crate::endpoint_state::EndpointState;
 use crate::idle_connection::IdleConnection;
 use crate::messages::{BackendCommand, BackendId, BackendSender, RouterMessage};
+use crate::permit::AttemptGuard;
 use crate::protocol::BackendProtocol;
 use crate::spawn;
 use crossbeam_channel::bounded;
@@ -85,7 +85,7 @@
     /// Starts an exchange on an idle connection, or else on a new one.
     fn start(&mut self, task: Task<P>, guard: AttemptGuard) {
         // The router actor may have decided on it before it knew that the endpoint drains or the client left.
-        if !guard.can_start() {
+        if guard.check_start().is_err() {
             return self.context.report_outcome(&task, Outcome::NeverSent);
         }
         if let Some(idle) = self.take_idle() {
--- a/routing/src/backends/exchange.rs
+++ b/routing/src/backends/exchange.rs
@@ -1,9 +1,9 @@
 //! One exchange, on the thread of its connection.
 use super::BackendResources;
-use crate::attempt_guard::AttemptGuard;
 use crate::endpoint_state::EndpointState;
 use crate::idle_connection::IdleConnection;
 use crate::messages::{AddressedCommand, BackendCommand, BackendId, BackendSender, RouterMessage};
+use crate::permit::{AttemptGuard, ConnectionPermit, Verdict};
 use crate::protocol::{BackendProtocol, Connection, Exchange, ExchangeResult, NotSent};
 use crate::request::AttemptId;
 use decision::{MemberId, Outcome};
@@ -101,7 +101,10 @@
     guard: &AttemptGuard,
 ) -> ExchangeResult<P::Response> {
     loop {
-        let pooled = connection.as_mut().is_some_and(|c| c.is_usable(last_response.elapsed()));
+        let Ok(pooled) = is_usable::<P>(connection.as_mut(), last_response, guard) else {
+            // Nothing was written on it: it stays as it is.
+            return ExchangeResult { reusable: true, ..ExchangeResult::from_outcome(Outcome::NeverSent) };
+        };
         if !pooled && let Err(outcome) = reconnect(context, connection, guard) {
             return ExchangeResult::from_outcome(outcome);
         }
@@ -128,6 +131,17 @@
     }
 }
 
+/// Whether the connection at hand can carry the task.
+fn is_usable<P: BackendProtocol>(
+    connection: Option<&mut P::Connection>,
+    last_response: Instant,
+    guard: &AttemptGuard,
+) -> Verdict<bool> {
+    let Some(connection) = connection else { return Ok(false) };
+    let permit = guard.permit_connection()?;
+    Ok(connection.is_usable(last_response.elapsed(), permit))
+}
+
 /// Replaces a connection that is not usable by a new one.
 fn reconnect<P: BackendProtocol>(
     context: &Context<P>,
@@ -136,16 +150,17 @@
 ) -> Result<(), Outcome> {
     // Its descriptor is free before another is opened.
     *connection = None;
-    if !guard.can_start() {
-        return Err(Outcome::NeverSent);
-    }
-    *connection = Some(connect(context)?);
+    let permit = guard.permit_connection().map_err(|_| Outcome::NeverSent)?;
+    *connection = Some(connect(context, permit)?);
     Ok(())
 }
 
-fn connect<P: BackendProtocol>(context: &Context<P>) -> Result<P::Connection, Outcome> {
+fn connect<P: BackendProtocol>(
+    context: &Context<P>,
+    permit: ConnectionPermit,
+) -> Result<P::Connection, Outcome> {
     let started = Instant::now();
-    let opened = context.resources.protocol.connect(context.addr);
+    let opened = context.resources.protocol.connect(context.addr, permit);
     let (member, took) = (context.member.0, started.elapsed().as_micros());
     tracing::debug!(member, took, "link: {:?}", opened.as_ref().err());
     opened
--- a/routing/src/endpoint_state.rs
+++ b/routing/src/endpoint_state.rs
@@ -1,29 +1,49 @@
 //! Whether an endpoint accepts new exchanges, shared between the router actor, which knows, and whoever is about to
 //! start one.
-use std::sync::Arc;
+use crate::permit::{Denial, Verdict};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
 
 /// Whether an endpoint accepts new exchanges, as the router actor knows it now. Copies share one state.
 ///
 /// A new state is in service.
 #[derive(Clone, Debug, Default)]
-pub struct EndpointState(Arc<Flags>);
+pub struct EndpointState(Arc<Shared>);
 
 #[derive(Debug, Default)]
-struct Flags {
+struct Shared {
     out_of_service: AtomicBool,
     retired: AtomicBool,
+    /// When it left service; `None` while it is in service.
+    left_at: Mutex<Option<Instant>>,
 }
 
 impl EndpointState {
     /// Records whether the endpoint list has the endpoint in service; returns `true` if that is a change.
     pub fn set_in_service(&self, in_service: bool) -> bool {
-        self.0.out_of_service.swap(!in_service, Ordering::AcqRel) == in_service
+        let changed = self.0.out_of_service.swap(!in_service, Ordering::AcqRel) == in_service;
+        if changed {
+            self.set_left_at((!in_service).then(Instant::now));
+        }
+        changed
     }
 
     /// Marks the endpoint as permanently removed from the router actor.
     pub fn retire(&self) {
         self.0.retired.store(true, Ordering::Release);
+        if self.left_at().is_none() {
+            self.set_left_at(Some(Instant::now()));
+        }
+    }
+
+    fn set_left_at(&self, at: Option<Instant>) {
+        *self.0.left_at.lock().unwrap_or_else(PoisonError::into_inner) = at;
+    }
+
+    /// When it left service, if it has.
+    pub fn left_at(&self) -> Option<Instant> {
+        *self.0.left_at.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether the router actor has removed the endpoint.
@@ -32,7 +52,21 @@
     }
 
     /// Whether a new exchange may start: the endpoint is in service and not removed.
+    ///
+    /// # Errors
+    /// Which of the two it is not.
+    pub fn permits_exchange(&self) -> Verdict {
+        if self.is_retired() {
+            Err(Denial::EndpointRemoved)
+        } else if self.0.out_of_service.load(Ordering::Acquire) {
+            Err(Denial::EndpointOutOfService)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// The same as a flag.
     pub fn accepts_exchanges(&self) -> bool {
-        !self.0.out_of_service.load(Ordering::Acquire) && !self.is_retired()
+        self.permits_exchange().is_ok()
     }
 }
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -10,9 +10,12 @@
 //!   ([`EndpointsHandle`]);
 //! - the *backends actor* owns the connections to the endpoints; an exchange runs on a thread of its own.
 //!
+//! [`permit`] is the one place that permits something to be sent, repeated, closed or answered; [`observer`] checks the
+//! promises again from what was done.
+//!
 //! None waits for another in a cycle: the router actor never blocks on the backends actor. What must not be lost if that
-//! one's mailbox is full is shared state, [`AttemptGuard`] and [`EndpointState`], read where it binds.
-mod attempt_guard;
+//! one's mailbox is full is shared state, [`AttemptGuard`] and
+//! [`EndpointState`], read where it binds.
 mod backends;
 mod clock;
 mod endpoint;
@@ -21,9 +24,12 @@
 mod idle_connection;
 mod messages;
 mod metrics;
+pub mod observer;
+pub mod permit;
 mod placement_subsets;
 mod probe_spacing;
 pub mod protocol;
+pub mod reasons;
 mod request;
 mod responded_endpoints;
 mod router;
@@ -32,14 +38,14 @@
 #[cfg(test)]
 mod recorded_run;
 
-pub use attempt_guard::AttemptGuard;
 pub use clock::Clock;
 pub use decision::{GroupId, MemberReport, MemberState, Outcome, RequestId, SessionId, Settings, Time};
 pub use endpoint::{EndpointEntry, EndpointUpdate, MaintenanceMask, UpdateOrder};
 pub use endpoint_state::EndpointState;
 pub use endpoints::EndpointsHandle;
 pub use messages::RouterMessage;
-pub use metrics::{ClassMetrics, Metrics};
+pub use metrics::{ClassMetrics, Metrics, ReasonCounters};
+pub use permit::{AttemptGuard, ConnectionPermit, Denial, Handshake, ServerSocket, Verdict, WritePermit};
 pub use placement::Refusal;
 pub use protocol::{BackendProtocol, Connection, Exchange, ExchangeResult, NotSent};
 pub use request::{AttemptId, ClientRequest, FinalResponse};
--- a/routing/src/messages.rs
+++ b/routing/src/messages.rs
@@ -1,8 +1,8 @@
 //! The messages between the core's actors. The actors depend on this file and not on each other's insides.
-use crate::attempt_guard::AttemptGuard;
 use crate::endpoint::EndpointUpdate;
 use crate::endpoint_state::EndpointState;
 use crate::idle_connection::IdleConnection;
+use crate::permit::AttemptGuard;
 use crate::protocol::{BackendProtocol, ExchangeResult};
 use crate::request::{AttemptId, ClientRequest};
 use crossbeam_channel::Sender;
--- a/routing/src/metrics.rs
+++ b/routing/src/metrics.rs
@@ -2,9 +2,13 @@
 //!
 //! Whoever counts holds the counter itself, an atomic number: rendering reads the counters and never delays a request.
 //! A router without an admin address has no metrics and counts nothing.
+mod reasons;
+
+pub use reasons::ReasonCounters;
+
 use prometheus::core::Collector;
 use prometheus::proto::MetricFamily;
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts};
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, TextEncoder};
 use std::fmt::Write;
 use std::sync::Arc;
 
@@ -30,6 +34,8 @@
     pub endpoints: IntGauge,
     /// Listed endpoints that get no new requests now, by maintenance or by decision; rendered as `cluster_unhealthy`.
     pub unhealthy_endpoints: IntGauge,
+    /// Counters by reason, for `/metrics`.
+    pub reasons: ReasonCounters,
     families: Vec<(&'static str, IntCounterVec)>,
 }
 
@@ -57,6 +63,7 @@
             requests_in_progress: gauge("current")?,
             endpoints: gauge("cluster_size")?,
             unhealthy_endpoints: gauge("cluster_unhealthy")?,
+            reasons: ReasonCounters::new()?,
             families,
         }))
     }
@@ -78,4 +85,20 @@
         }
         text
     }
+
+    /// All metrics in the text format of Prometheus, for `/metrics` of the admin address.
+    ///
+    /// # Errors
+    /// If the metrics library can't encode them.
+    pub fn render_prometheus(&self) -> prometheus::Result<String> {
+        let mut families: Vec<MetricFamily> = Vec::new();
+        self.families.iter().for_each(|(_, family)| families.extend(family.collect()));
+        for gauge in [&self.requests_in_progress, &self.endpoints, &self.unhealthy_endpoints] {
+            families.extend(gauge.collect());
+        }
+        self.reasons.families().into_iter().for_each(|family| families.extend(family.collect()));
+        let mut bytes = Vec::new();
+        TextEncoder::new().encode(&families, &mut bytes)?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
 }
--- /dev/null
+++ b/routing/src/permit/denial.rs
@@ -0,0 +1,77 @@
+//! Why something is not permitted.
+
+/// Why something may not be done now. The names are a closed set: log lines and the counter `denied_total` use them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Denial {
+    /// The client has disconnected.
+    ClientLeft,
+    /// The client has cancelled the request.
+    ClientCancelled,
+    /// The request has its final response.
+    AlreadyAnswered,
+    /// The router has stopped waiting for the attempt.
+    AttemptTimedOut,
+    /// The decisions have cancelled the attempt.
+    AttemptCancelled,
+    /// The time within which the attempt may start is over.
+    StartTooLate,
+    /// The endpoint drains, is in maintenance, or is not listed any more.
+    EndpointOutOfService,
+    /// The router has no more use for the endpoint, or it is listed under another address.
+    EndpointRemoved,
+    /// The tenant's data may not be at this endpoint any more.
+    PlacementChanged,
+    /// An earlier attempt may have run, and the request must not run twice.
+    UnsafeRepeat,
+    /// An earlier attempt may have run, and the time in which repeats are dropped is over.
+    RepeatWindowOver,
+    /// An earlier attempt is still in flight, and no two may be at a time.
+    AttemptInFlight,
+    /// The connection takes no more commands.
+    ConnectionClosed,
+    /// Commands are in flight on the connection.
+    CommandsInFlight,
+}
+
+/// Permitted, or why not.
+pub type Verdict<T = ()> = Result<T, Denial>;
+
+impl Denial {
+    /// All of them.
+    pub const ALL: [Denial; 14] = [
+        Denial::ClientLeft,
+        Denial::ClientCancelled,
+        Denial::AlreadyAnswered,
+        Denial::AttemptTimedOut,
+        Denial::AttemptCancelled,
+        Denial::StartTooLate,
+        Denial::EndpointOutOfService,
+        Denial::EndpointRemoved,
+        Denial::PlacementChanged,
+        Denial::UnsafeRepeat,
+        Denial::RepeatWindowOver,
+        Denial::AttemptInFlight,
+        Denial::ConnectionClosed,
+        Denial::CommandsInFlight,
+    ];
+
+    /// The name in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Denial::ClientLeft => "client_left",
+            Denial::ClientCancelled => "client_cancelled",
+            Denial::AlreadyAnswered => "already_answered",
+            Denial::AttemptTimedOut => "attempt_timed_out",
+            Denial::AttemptCancelled => "attempt_cancelled",
+            Denial::StartTooLate => "start_too_late",
+            Denial::EndpointOutOfService => "endpoint_out_of_service",
+            Denial::EndpointRemoved => "endpoint_removed",
+            Denial::PlacementChanged => "placement_changed",
+            Denial::UnsafeRepeat => "unsafe_repeat",
+            Denial::RepeatWindowOver => "repeat_window_over",
+            Denial::AttemptInFlight => "attempt_in_flight",
+            Denial::ConnectionClosed => "connection_closed",
+            Denial::CommandsInFlight => "commands_in_flight",
+        }
+    }
+}
--- a/routing/src/protocol.rs
+++ b/routing/src/protocol.rs
@@ -1,9 +1,8 @@
 //! What the core asks of a wire protocol between router and endpoints: connecting, and one exchange at a time on each
 //! connection.
-pub use crate::attempt_guard::AttemptGuard;
+pub use crate::permit::{AttemptGuard, ConnectionPermit, Handshake, ServerSocket, WritePermit};
 use decision::{MemberReport, Outcome, Time};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// One exchange with an endpoint: something sent, and what comes back for it.
@@ -54,26 +53,26 @@
     /// A connection to an endpoint.
     type Connection: Connection<Self> + Send;
 
-    /// Opens a connection that is ready for an exchange.
+    /// Opens a connection that is ready for an exchange. [`Handshake::connect`] takes the permit.
     ///
     /// # Errors
     /// Nothing has run; the outcome says whether the endpoint rejected the connection or could not be reached.
-    fn connect(&self, addr: SocketAddr) -> Result<Self::Connection, Outcome>;
+    fn connect(&self, addr: SocketAddr, permit: ConnectionPermit) -> Result<Self::Connection, Outcome>;
 }
 
 /// A connection that carries one exchange at a time.
 pub trait Connection<P: BackendProtocol> {
     /// The socket, for whoever has to cancel an exchange.
-    fn socket(&self) -> Arc<TcpStream>;
+    fn socket(&self) -> ServerSocket;
 
     /// Whether a connection that has been idle for this long is still usable; nothing may be written to one that is
     /// not. Whatever lies between may have dropped a long idle connection silently: a protocol checks the round trip,
-    /// or returns `false`.
-    fn is_usable(&mut self, idle_for: Duration) -> bool;
+    /// or returns `false`. What it writes for that takes the permit.
+    fn is_usable(&mut self, idle_for: Duration, permit: ConnectionPermit) -> bool;
 
-    /// Carries one exchange to its end. [`AttemptGuard::try_start`] has to be called right before the first byte, also
-    /// of a preparatory message and of anything written after a response; [`AttemptGuard::mark_sent`] has to be called
-    /// right after the last byte.
+    /// Carries one exchange to its end. [`AttemptGuard::permit_write`] is asked right before the first byte, also of a
+    /// preparatory message and of anything written after a response. The socket takes the permit with the request's last
+    /// byte.
     ///
     /// # Errors
     /// The exchange was not completely written, so it never ran.
--- a/routing/src/request.rs
+++ b/routing/src/request.rs
@@ -23,6 +23,8 @@
 
 /// A request as a front hands it over.
 pub struct ClientRequest<P: BackendProtocol> {
+    /// The connection that it came on, for the log.
+    pub connection: u64,
     /// Its class, an index into the settings.
     pub class: usize,
     /// Its tenant, if it names one.
--- a/routing/src/router.rs
+++ b/routing/src/router.rs
@@ -10,6 +10,7 @@
 mod probing;
 mod request_record;
 mod requests;
+mod transitions;
 
 pub use handle::RouterHandle;
 
--- a/routing/src/router/actor.rs
+++ b/routing/src/router/actor.rs
@@ -5,6 +5,8 @@
 use crate::clock::Clock;
 use crate::messages::{BackendSender, RouterMessage};
 use crate::metrics::Metrics;
+use crate::observer::Observer;
+use crate::permit::{Denial, RepeatRule};
 use crate::placement_subsets::{MemberIds, PlacementSubsets};
 use crate::probe_spacing::ProbeSpacing;
 use crate::protocol::{BackendProtocol, ExchangeResult};
@@ -39,6 +41,8 @@
 /// What the router actor knows of a request class.
 pub(super) struct ClassRules {
     pub(super) is_write: bool,
+    /// What it allows of retries.
+    pub(super) repeat: RepeatRule,
     /// When a client of an unavailable group is asked to retry.
     pub(super) retry_after: Option<Duration>,
 }
@@ -49,7 +53,8 @@
         let retry_after = settings
             .max_retry_after
             .map(|max| Duration::from_micros(max.min(class.latency_objective).max(0) as u64));
-        ClassRules { is_write: class.freshness == Freshness::Write, retry_after }
+        let repeat = RepeatRule { idempotency: class.idempotency, hedging_allowed: settings.hedging_allowed };
+        ClassRules { is_write: class.freshness == Freshness::Write, repeat, retry_after }
     }
 }
 
@@ -80,14 +85,20 @@
     pub(super) probe_spacing: ProbeSpacing,
     /// Groups without an available endpoint, at least partly because of maintenance.
     pub(super) unavailable_groups: BTreeSet<GroupId>,
+    /// Checks the promises again from what was done.
+    pub(super) observer: Observer,
     /// Where tenants' data is kept in its place.
     pub(super) subsets: Option<Box<PlacementSubsets>>,
 }
 
 impl<P: BackendProtocol> RouterActor<P> {
     pub(super) fn new(settings: Settings, seed: u64, clock: Clock, resources: BackendResources<P>) -> Self {
+        let classes: Vec<ClassRules> =
+            settings.classes.iter().map(|class| ClassRules::new(class, &settings)).collect();
+        let rules = classes.iter().map(|class| class.repeat).collect();
         RouterActor {
-            classes: settings.classes.iter().map(|class| ClassRules::new(class, &settings)).collect(),
+            classes,
+            observer: Observer::new(rules, settings.drain_grace),
             router_count: settings.router_count,
             probe_spacing: ProbeSpacing::new(&settings),
             decisions: Router::new(settings, seed),
@@ -150,16 +161,20 @@
 
     fn fire(&mut self, timer: Timer) {
         match timer {
-            Timer::Decisions => self.decide(Event::TimerExpired),
+            Timer::Decisions => {
+                self.decide(Event::TimerExpired);
+                self.look_for_forgotten();
+            }
             Timer::MemberMetrics => self.update_member_metrics(),
             Timer::Placement => self.handle_placement(placement::Event::Timer),
             Timer::Probe(endpoint) => self.schedule_probe(endpoint),
             Timer::ProbeTurn(endpoint) => self.send_probe(endpoint),
             Timer::AttemptTimeout(attempt) => {
-                if let Some(member) = self.cancel_attempt(attempt) {
-                    let result = ExchangeResult::from_outcome(Outcome::TimedOut);
-                    self.attempt_ended(attempt, member, result);
+                let cancelled = self.cancel_attempt(attempt, Denial::AttemptTimedOut, Outcome::TimedOut);
+                if let Some((member, outcome)) = cancelled {
+                    self.attempt_ended(attempt, member, ExchangeResult::from_outcome(outcome));
                 }
+                self.look_for_forgotten();
             }
         }
     }
@@ -214,8 +229,9 @@
             }
             Action::Cancel { request, attempt } => {
                 let attempt = AttemptId { request, number: attempt };
-                if let Some(member) = self.cancel_attempt(attempt) {
-                    self.end_attempt_later(attempt, member, Outcome::Cancelled);
+                let cancelled = self.cancel_attempt(attempt, Denial::AttemptCancelled, Outcome::Cancelled);
+                if let Some((member, outcome)) = cancelled {
+                    self.end_attempt_later(attempt, member, outcome);
                 }
             }
             Action::Reject { request, retry_after } => {
--- a/routing/src/router/attempts.rs
+++ b/routing/src/router/attempts.rs
@@ -2,14 +2,19 @@
 use super::actor::{RouterActor, Timer};
 use super::endpoint_record::BackendRef;
 use super::request_record::InFlightAttempt;
-use crate::attempt_guard::AttemptGuard;
 use crate::backends;
 use crate::messages::{BackendCommand, BackendId, RouterMessage};
+use crate::permit::{AttemptGuard, AttemptTimes, Denial, RepeatRule};
 use crate::protocol::{BackendProtocol, ExchangeResult};
+use crate::reasons::EndReason;
 use crate::request::{AttemptId, FinalResponse};
-use decision::{Event, MemberId, Outcome, RequestId, Time};
+use decision::{Event, Idempotency, MemberId, Outcome, RequestId, Time};
 use std::cmp::Reverse;
 
+/// What holds for a request of a class that the settings do not have.
+const UNKNOWN_CLASS: RepeatRule =
+    RepeatRule { idempotency: Idempotency::NotIdempotent, hedging_allowed: false };
+
 impl<P: BackendProtocol> RouterActor<P> {
     /// Sends an attempt, which starts by `latest_start` or not at all and times out at `deadline`.
     pub(super) fn send_attempt(
@@ -20,20 +25,38 @@
         latest_start: Time,
     ) {
         let endpoint = self.own_id(member);
+        let now = self.clock.now();
         let state = self.endpoints.get(&endpoint).map(|e| e.state.clone()).unwrap_or_default();
         let Some(record) = self.requests.get_mut(&request) else { return };
         let attempt = AttemptId { request, number: record.attempt_count };
         record.attempt_count += 1;
+        let rule = self.classes.get(record.class).map_or(UNKNOWN_CLASS, |class| class.repeat);
+        let verdict = match record.response.is_open() {
+            true => record.repeats.permit_attempt(now, rule),
+            false => Err(Denial::AlreadyAnswered),
+        };
         let class_metrics = self.metrics.as_ref().and_then(|metrics| metrics.classes.get(record.class));
         let sent_counter = class_metrics.map(|class| class.attempts_sent.clone());
-        let guard = AttemptGuard::for_attempt(state, self.clock.instant_at(latest_start), sent_counter);
-        record.in_flight.push(InFlightAttempt { number: attempt.number, member, guard: guard.clone() });
-        let command = BackendCommand::Attempt {
-            attempt,
-            payload: record.payload.clone(),
-            deadline: self.clock.instant_at(deadline),
-            guard,
-        };
+        let repeat_until = verdict.ok().flatten();
+        let latest_start = repeat_until.map_or(latest_start, |until| until.min(latest_start));
+        let latest_start = self.clock.instant_at(latest_start);
+        let guard = AttemptGuard::for_attempt(state, latest_start, sent_counter).identified(attempt);
+        let handed_over = verdict.is_ok();
+        record.in_flight.push(InFlightAttempt {
+            number: attempt.number,
+            member,
+            guard: guard.clone(),
+            handed_over,
+        });
+        let payload = record.payload.clone();
+        if let Err(denial) = verdict {
+            guard.cancel_if_unstarted(denial);
+            self.note_denied(attempt, denial);
+            return self.end_attempt_later(attempt, member, Outcome::NeverSent);
+        }
+        self.note_handed(attempt, member, deadline);
+        let deadline_instant = self.clock.instant_at(deadline);
+        let command = BackendCommand::Attempt { attempt, payload, deadline: deadline_instant, guard };
         if self.send_to_backend(endpoint, command) {
             self.timers.push(Reverse((deadline, Timer::AttemptTimeout(attempt))));
         } else {
@@ -75,18 +98,33 @@
         }
     }
 
-    /// Cancels an attempt under way, whose connection is shut down; returns its member.
-    pub(super) fn cancel_attempt(&self, attempt: AttemptId) -> Option<MemberId> {
+    /// Cancels an attempt under way, whose connection is shut down; returns its member, and how it has ended.
+    pub(super) fn cancel_attempt(
+        &self,
+        attempt: AttemptId,
+        reason: Denial,
+        sent_outcome: Outcome,
+    ) -> Option<(MemberId, Outcome)> {
         let record = self.requests.get(&attempt.request)?;
         let in_flight = record.in_flight.iter().find(|a| a.number == attempt.number)?;
-        in_flight.guard.cancel();
-        Some(in_flight.member)
+        let may_have_been_sent = in_flight.guard.cancel(reason);
+        let outcome =
+            if may_have_been_sent { sent_outcome } else { self.unsent_outcome(&in_flight.guard.times()) };
+        Some((in_flight.member, outcome))
+    }
+
+    /// How an attempt has ended that was cancelled before its first byte: it never ran. Where its connection had most of
+    /// its time and did not come up, that is held against the endpoint.
+    fn unsent_outcome(&self, times: &AttemptTimes) -> Outcome {
+        let connect_timeout = self.resources.limits.connect;
+        let is_overdue = times.connecting_since.is_some_and(|since| 2 * since.elapsed() >= connect_timeout);
+        if is_overdue { Outcome::ConnectFailed } else { Outcome::NeverSent }
     }
 
     /// What has not started of a request does not start.
-    pub(super) fn cancel_unstarted_attempts(&self, id: RequestId) {
+    pub(super) fn cancel_unstarted_attempts(&self, id: RequestId, reason: Denial) {
         if let Some(record) = self.requests.get(&id) {
-            record.in_flight.iter().for_each(|attempt| attempt.guard.cancel_if_unstarted());
+            record.in_flight.iter().for_each(|attempt| attempt.guard.cancel_if_unstarted(reason));
         }
     }
 
@@ -107,19 +145,24 @@
         let AttemptId { request, number } = attempt;
         self.record_responded(endpoint, outcome);
         let Some(in_flight) = self.take_in_flight(attempt) else { return };
+        let times = in_flight.guard.times();
         // The member id that the decisions sent it to, perhaps an alias of the endpoint.
         let member = in_flight.member;
         if !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::NeverSent) {
             self.probe_spacing.attempt_failed(self.own_id(member));
         }
-        let now = self.clock.now();
         let Some(record) = self.requests.get_mut(&request) else { return };
         record.attempt_ended(outcome);
+        if in_flight.handed_over {
+            let permitted_at = times.permitted_at.map(|at| self.clock.time_at(at));
+            record.repeats.attempt_ended(permitted_at, outcome);
+        }
         let commit = record.commit(outcome, commit, &mut response_report);
+        self.note_attempt_ended(attempt, member, &times, outcome);
         if let Some(response) = response {
-            record.respond(FinalResponse::Served(response, commit), now, self.metrics.as_deref());
+            self.give_response(request, FinalResponse::Served(response, commit), EndReason::After(outcome));
         }
-        let request_ended = !record.awaits_response();
+        let request_ended = self.requests.get(&request).is_none_or(|record| !record.awaits_response());
         if self.subsets.is_some() {
             self.record_placement_outcome(member, outcome, &response_report, true);
         }
--- a/routing/src/router/placement_routing.rs
+++ b/routing/src/router/placement_routing.rs
@@ -2,8 +2,10 @@
 //! are routed again when subsets change. Without placement settings nothing here has any effect.
 use super::actor::{RouterActor, Timer};
 use super::request_record::RequestRecord;
+use crate::permit::Denial;
 use crate::placement_subsets::{StatedRole, SubsetChange};
 use crate::protocol::BackendProtocol;
+use crate::reasons::EndReason;
 use crate::request::FinalResponse;
 use decision::{Event, GroupId, MemberId, MemberReport, Outcome, Request, RequestId};
 use placement::Refusal;
@@ -99,7 +101,7 @@
         }
         let in_flight = self.requests.values().flat_map(|record| &record.in_flight);
         for attempt in in_flight.filter(|attempt| departed.contains(&attempt.member)) {
-            attempt.guard.cancel_if_unstarted();
+            attempt.guard.cancel_if_unstarted(Denial::PlacementChanged);
         }
     }
 
@@ -172,7 +174,7 @@
         if placed.stopped.is_none() {
             placed.stopped = Some(routed.map_or_else(Stopped::Denied, |_| Stopped::Rerouted));
             self.decide(Event::ResponseStarted { request: id });
-            self.cancel_unstarted_attempts(id);
+            self.cancel_unstarted_attempts(id, Denial::PlacementChanged);
             self.respond_to_stopped(id);
         }
     }
@@ -183,7 +185,7 @@
             Ok(routed_to) => routed_to,
             Err(refusal) => {
                 self.decide(Event::ClientDisconnected { request: id });
-                return self.respond(id, FinalResponse::PlacementDenied(refusal));
+                return self.respond(id, FinalResponse::PlacementDenied(refusal), EndReason::PlacementDenied);
             }
         };
         let Some(placed) = self.requests.get_mut(&id).and_then(|record| record.placed.as_mut()) else {
@@ -207,7 +209,7 @@
             Stopped::Denied(refusal) => FinalResponse::PlacementDenied(refusal),
             Stopped::Rerouted => FinalResponse::Rejected(None),
         };
-        self.respond(id, response);
+        self.respond(id, response, EndReason::PlacementDenied);
     }
 
     /// Routes a request again of which the last attempt under way has ended.
--- a/routing/src/router/request_record.rs
+++ b/routing/src/router/request_record.rs
@@ -1,10 +1,9 @@
 //! What the router actor keeps of each request.
 use super::placement_routing::PlacedRequest;
-use crate::attempt_guard::AttemptGuard;
 use crate::metrics::Metrics;
+use crate::permit::{AttemptGuard, Denial, RepeatState, ResponseSlot, Verdict};
 use crate::protocol::BackendProtocol;
 use crate::request::FinalResponse;
-use crossbeam_channel::Sender;
 use decision::{MemberId, MemberReport, Outcome, Time};
 use std::sync::Arc;
 
@@ -14,6 +13,8 @@
     /// Where the decisions sent it; perhaps an alias of an endpoint.
     pub(super) member: MemberId,
     pub(super) guard: AttemptGuard,
+    /// Whether it was handed over; one that was not permitted ends by itself.
+    pub(super) handed_over: bool,
 }
 
 pub(super) struct RequestRecord<P: BackendProtocol> {
@@ -22,8 +23,12 @@
     /// Its client stops waiting at this time.
     pub(super) deadline: Time,
     pub(super) is_write: bool,
-    /// Taken by whoever gives the final response.
-    pub(super) response_sender: Option<Sender<FinalResponse<P::Response>>>,
+    /// The connection that it came on, for the log.
+    pub(super) connection: u64,
+    /// Gives the one final response.
+    pub(super) response: ResponseSlot<P::Response>,
+    /// What its attempts may have done.
+    pub(super) repeats: RepeatState,
     /// Attempts so far, under way or ended.
     pub(super) attempt_count: u32,
     pub(super) in_flight: Vec<InFlightAttempt>,
@@ -34,7 +39,7 @@
 
 impl<P: BackendProtocol> RequestRecord<P> {
     pub(super) fn awaits_response(&self) -> bool {
-        self.response_sender.is_some()
+        self.response.is_open()
     }
 
     /// One of its attempts has ended like this.
@@ -60,20 +65,24 @@
         stated.or(position)
     }
 
-    /// Gives the final response and counts the request, unless that was done before. A request whose client no longer
-    /// waits has failed, whatever the response.
+    /// Gives the final response and counts the request. A request whose client no longer waits has failed, whatever the
+    /// response.
+    ///
+    /// # Errors
+    /// It has its response, or is owed none any more.
     pub(super) fn respond(
         &mut self,
         response: FinalResponse<P::Response>,
         now: Time,
         metrics: Option<&Metrics>,
-    ) {
-        let Some(sender) = self.response_sender.take() else { return };
+    ) -> Verdict {
+        if !self.response.is_open() {
+            return Err(Denial::AlreadyAnswered);
+        }
         if let Some(metrics) = metrics {
             self.count(&response, now, metrics);
         }
-        // The front's channel has room for its one response; a closed one means that the client is gone.
-        _ = sender.try_send(response);
+        self.response.give(response)
     }
 
     fn count(&self, response: &FinalResponse<P::Response>, now: Time, metrics: &Metrics) {
--- a/routing/src/router/requests.rs
+++ b/routing/src/router/requests.rs
@@ -1,7 +1,11 @@
 //! Requests from their arrival to their final response.
 use super::actor::RouterActor;
 use super::request_record::RequestRecord;
+use super::transitions::ending;
+use crate::observer::Ending;
+use crate::permit::{Denial, RepeatState, ResponseSlot};
 use crate::protocol::BackendProtocol;
+use crate::reasons::EndReason;
 use crate::request::{ClientRequest, FinalResponse};
 use crossbeam_channel::Sender;
 use decision::{Event, Request, RequestId};
@@ -13,6 +17,7 @@
     /// its group is unavailable as a whole.
     pub(super) fn request_arrived(&mut self, id: RequestId, arrived: ClientRequest<P>) {
         let ClientRequest {
+            connection,
             class,
             tenant,
             session,
@@ -25,25 +30,27 @@
         // The decisions do not tell tenants apart; placement does, by name.
         let mut request = Request { id, class, tenant: 0, session, group, deadline, session_commit };
         let placed = self.place(tenant, &request);
-        let mut record = self.new_record(&request, payload, response_sender);
+        let mut record = self.new_record(&request, connection, payload, response_sender);
         if let Some(metrics) = &self.metrics {
             metrics.requests_in_progress.inc();
         }
+        let mut refused = None;
         match placed {
             Ok(placed) => record.placed = placed,
-            Err(refusal) => {
-                let response = FinalResponse::PlacementDenied(refusal);
-                return record.respond(response, self.clock.now(), self.metrics.as_deref());
-            }
+            Err(refusal) => refused = Some(refusal),
         }
         if let Some(placed) = &record.placed {
             request.group = placed.routed_to();
         }
         self.requests.insert(id, record);
+        self.note_taken(id, connection, class, deadline);
+        if let Some(refusal) = refused {
+            return self.respond(id, FinalResponse::PlacementDenied(refusal), EndReason::PlacementDenied);
+        }
         // By the group that the client named, whatever subset of it the request is routed to.
         if self.unavailable_groups.contains(&group) {
             let retry_after = self.classes.get(class).and_then(|rules| rules.retry_after);
-            return self.reject(id, retry_after);
+            return self.respond(id, FinalResponse::Rejected(retry_after), EndReason::GroupUnavailable);
         }
         self.decide(Event::RequestArrived(request));
     }
@@ -51,6 +58,7 @@
     fn new_record(
         &self,
         request: &Request,
+        connection: u64,
         payload: P::Payload,
         response_sender: Sender<FinalResponse<P::Response>>,
     ) -> RequestRecord<P> {
@@ -59,7 +67,9 @@
             class: request.class,
             deadline: request.deadline,
             is_write: self.classes.get(request.class).is_none_or(|rules| rules.is_write),
-            response_sender: Some(response_sender),
+            connection,
+            response: ResponseSlot::new(response_sender),
+            repeats: RepeatState::default(),
             attempt_count: 0,
             in_flight: Vec::new(),
             last_outcome: None,
@@ -70,48 +80,70 @@
     /// The client has gone: the request is owed no response, and counts as neither served nor failed.
     pub(super) fn client_disconnected(&mut self, id: RequestId) {
         let Some(record) = self.requests.get_mut(&id) else { return };
-        if record.response_sender.take().is_none() {
+        if record.response.close(Denial::ClientLeft).is_err() {
             return;
         }
         if let Some(metrics) = &self.metrics {
             metrics.requests_in_progress.dec();
         }
-        self.close(id);
+        self.note_ended(id, Ending::ClientLeft, "dropped", Some(EndReason::ClientLeft));
+        self.close(id, Denial::ClientLeft);
     }
 
     /// The client asked to cancel the request: it gets that as its final response, unless it has one.
     pub(super) fn request_cancelled(&mut self, id: RequestId) {
-        let now = self.clock.now();
-        let Some(record) = self.requests.get_mut(&id).filter(|r| r.awaits_response()) else { return };
-        record.respond(FinalResponse::Cancelled, now, self.metrics.as_deref());
-        self.close(id);
+        if self.requests.get(&id).is_some_and(RequestRecord::awaits_response) {
+            self.give_response(id, FinalResponse::Cancelled, EndReason::ClientCancelled);
+            self.close(id, Denial::ClientCancelled);
+        }
     }
 
     /// Nobody waits for a request any more: no further attempt is sent for it, nor one that still waits for a
     /// connection.
-    fn close(&mut self, id: RequestId) {
-        self.cancel_unstarted_attempts(id);
+    fn close(&mut self, id: RequestId, reason: Denial) {
+        self.cancel_unstarted_attempts(id, reason);
         self.decide(Event::ClientDisconnected { request: id });
         self.remove_if_finished(id);
     }
 
     /// The final response that the request was not served and may be retried, after this time if there is one.
     pub(super) fn reject(&mut self, id: RequestId, retry_after: Option<Duration>) {
-        self.respond(id, FinalResponse::Rejected(retry_after));
+        let reason = self.end_reason(id);
+        self.respond(id, FinalResponse::Rejected(retry_after), reason);
     }
 
     /// The final response that the request may have run, with the outcome of its last attempt.
     pub(super) fn fail(&mut self, id: RequestId) {
         let last_outcome = self.requests.get(&id).and_then(|record| record.last_outcome);
-        self.respond(id, FinalResponse::Failed(last_outcome));
+        let reason = self.end_reason(id);
+        self.respond(id, FinalResponse::Failed(last_outcome), reason);
+    }
+
+    /// Why a request that was not served ends now.
+    pub(super) fn end_reason(&self, id: RequestId) -> EndReason {
+        let last_outcome = self.requests.get(&id).and_then(|record| record.last_outcome);
+        last_outcome.map_or(EndReason::NotForwarded, EndReason::After)
     }
 
     /// Gives a request its final response, unless it has one.
-    pub(super) fn respond(&mut self, id: RequestId, response: FinalResponse<P::Response>) {
+    pub(super) fn respond(&mut self, id: RequestId, response: FinalResponse<P::Response>, reason: EndReason) {
+        self.give_response(id, response, reason);
+        self.remove_if_finished(id);
+    }
+
+    /// The same; the request stays known until [`Self::remove_if_finished`] is called.
+    pub(super) fn give_response(
+        &mut self,
+        id: RequestId,
+        response: FinalResponse<P::Response>,
+        reason: EndReason,
+    ) {
         let now = self.clock.now();
-        if let Some(record) = self.requests.get_mut(&id) {
-            record.respond(response, now, self.metrics.as_deref());
-            self.remove_if_finished(id);
+        let (ending, name) = ending(&response);
+        let Some(record) = self.requests.get_mut(&id) else { return };
+        if record.respond(response, now, self.metrics.as_deref()).is_ok() {
+            let reason = (ending != Ending::Served).then_some(reason);
+            self.note_ended(id, ending, name, reason);
         }
     }
 
--- a/routing/tests/attempt_guard.rs
+++ b/routing/tests/attempt_guard.rs
@@ -1,15 +1,23 @@
 //! How exchanges are cancelled, on real loopback sockets.
 use routing::socket::peek;
-use routing::{AttemptGuard, EndpointState};
+use routing::{AttemptGuard, Denial, EndpointState, Handshake, ServerSocket};
+use settings::Limits;
 use std::io::{ErrorKind, Read};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-fn connected_pair() -> (Arc<TcpStream>, TcpStream) {
+fn connected_pair() -> (ServerSocket, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    (Arc::new(near), listener.accept().unwrap().0)
+    let permit = AttemptGuard::default().permit_connection().unwrap();
+    let (addr, seconds) = (listener.local_addr().unwrap(), Duration::from_secs);
+    let limits = Limits::new(256, 32 << 20, seconds(20), seconds(20), seconds(20));
+    let near = Handshake::connect(permit, addr, &limits).unwrap().finish().unwrap();
+    (near, listener.accept().unwrap().0)
+}
+
+/// Whether the first byte is permitted.
+fn starts(guard: &AttemptGuard) -> bool {
+    guard.permit_write().is_ok()
 }
 
 /// Nothing has arrived, and nothing has ended.
@@ -23,22 +31,22 @@
     // Before its first byte: the connection can carry another exchange.
     let guard = AttemptGuard::default();
     guard.attach_socket(near.clone());
-    guard.cancel();
-    assert!(!guard.try_start() && is_open_and_silent(&near) && is_open_and_silent(&far));
+    guard.cancel(Denial::AttemptTimedOut);
+    assert!(!starts(&guard) && near.is_idle_and_open() && is_open_and_silent(&far));
     // After its response: the connection carries another exchange by now.
     let guard = AttemptGuard::default();
     guard.attach_socket(near.clone());
-    assert!(guard.try_start());
+    assert!(starts(&guard));
     guard.detach_socket();
-    guard.cancel();
-    assert!(is_open_and_silent(&near) && is_open_and_silent(&far));
+    guard.cancel(Denial::AttemptTimedOut);
+    assert!(near.is_idle_and_open() && is_open_and_silent(&far));
     // In between.
     let guard = AttemptGuard::default();
     guard.attach_socket(near.clone());
-    assert!(guard.try_start());
-    guard.cancel();
+    assert!(starts(&guard));
+    guard.cancel(Denial::AttemptTimedOut);
     assert_eq!((&far).read(&mut [0]).unwrap(), 0);
-    assert!(!guard.try_start());
+    assert!(!starts(&guard));
 }
 
 #[test]
@@ -46,7 +54,7 @@
     let (near, far) = connected_pair();
     let guard = AttemptGuard::default();
     guard.attach_socket(near.clone());
-    assert!(guard.try_start());
+    assert!(starts(&guard));
     drop(near);
     guard.detach_socket();
     // Closed with its last owner, not when the next connection is up.
@@ -58,25 +66,25 @@
     let (near, far) = connected_pair();
     let guard = AttemptGuard::default();
     guard.attach_socket(near.clone());
-    assert!(guard.try_start());
-    guard.cancel_if_unstarted();
-    assert!(is_open_and_silent(&near) && is_open_and_silent(&far), "a started exchange goes on");
+    assert!(starts(&guard));
+    guard.cancel_if_unstarted(Denial::ClientLeft);
+    assert!(near.is_idle_and_open() && is_open_and_silent(&far), "a started exchange goes on");
     guard.detach_socket();
-    assert!(!guard.can_start() && !guard.try_start());
+    assert!(!guard.check_start().is_ok() && !starts(&guard));
 }
 
 #[test]
 fn start_needs_an_endpoint_in_service_and_time_left() {
     let state = EndpointState::default();
     let guard = AttemptGuard::new(state.clone());
-    assert!(guard.can_start() && guard.try_start());
+    assert!(guard.check_start().is_ok() && starts(&guard));
     assert!(state.set_in_service(false) && !state.set_in_service(false), "a change only once");
-    assert!(!guard.can_start() && !guard.try_start(), "also if it is written anew");
-    assert!(state.set_in_service(true) && guard.try_start());
+    assert!(!guard.check_start().is_ok() && !starts(&guard), "also if it is written anew");
+    assert!(state.set_in_service(true) && starts(&guard));
     state.retire();
-    assert!(!guard.try_start() && !state.accepts_exchanges());
+    assert!(!starts(&guard) && !state.accepts_exchanges());
     let now = Instant::now();
     let in_service = EndpointState::default;
-    assert!(!AttemptGuard::for_attempt(in_service(), now - Duration::from_millis(1), None).try_start());
-    assert!(AttemptGuard::for_attempt(in_service(), now + Duration::from_secs(60), None).try_start());
+    assert!(!starts(&AttemptGuard::for_attempt(in_service(), now - Duration::from_millis(1), None)));
+    assert!(starts(&AttemptGuard::for_attempt(in_service(), now + Duration::from_secs(60), None)));
 }
--- a/routing/tests/common/mod.rs
+++ b/routing/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! What the tests of the whole core share: scripted endpoints behind a protocol that waits where the test wants it.
 use decision::{GroupId, MemberState};
 use routing::{EndpointEntry, spawn};
+use settings::Limits;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex};
@@ -34,7 +35,12 @@
     }
 }
 
-/// A listener whose connections stay open. Connections need a socket; nothing is sent over it.
+/// Limits with time for everything.
+pub(crate) fn limits() -> Limits {
+    Limits::new(4096, 64 << 20, TIMEOUT, TIMEOUT, TIMEOUT)
+}
+
+/// A listener whose connections stay open. Connections need a socket; what is sent over it is not read.
 pub(crate) fn accepting_listener() -> Arc<TcpListener> {
     let listener = Arc::new(TcpListener::bind("127.0.0.1:0").unwrap());
     let accepting = listener.clone();
--- a/routing/tests/endpoints.rs
+++ b/routing/tests/endpoints.rs
@@ -2,8 +2,8 @@
 use crossbeam_channel::{Receiver, bounded, unbounded};
 use decision::{GroupId, MemberState};
 use routing::{
-    AttemptGuard, BackendProtocol, Connection, EndpointEntry, EndpointUpdate, EndpointsHandle, Exchange,
-    ExchangeResult, NotSent, Outcome, RouterMessage, UpdateOrder,
+    AttemptGuard, BackendProtocol, Connection, ConnectionPermit, EndpointEntry, EndpointUpdate,
+    EndpointsHandle, Exchange, ExchangeResult, NotSent, Outcome, RouterMessage, ServerSocket, UpdateOrder,
 };
 use settings::Limits;
 use std::net::{SocketAddr, TcpStream};
@@ -14,24 +14,24 @@
 
 /// A protocol that carries nothing: only the endpoints actor is wanted here.
 struct NoProtocol;
-struct NoConnection(Arc<TcpStream>);
+struct NoConnection(ServerSocket);
 
 impl BackendProtocol for NoProtocol {
     type Payload = ();
     type Response = ();
     type Connection = NoConnection;
 
-    fn connect(&self, _: SocketAddr) -> Result<NoConnection, Outcome> {
+    fn connect(&self, _: SocketAddr, _: ConnectionPermit) -> Result<NoConnection, Outcome> {
         unreachable!("no endpoint is asked")
     }
 }
 
 impl Connection<NoProtocol> for NoConnection {
-    fn socket(&self) -> Arc<TcpStream> {
+    fn socket(&self) -> ServerSocket {
         self.0.clone()
     }
 
-    fn is_usable(&mut self, _: Duration) -> bool {
+    fn is_usable(&mut self, _: Duration, _: ConnectionPermit) -> bool {
         false
     }
 
--- a/routing/tests/handover/script.rs
+++ b/routing/tests/handover/script.rs
@@ -5,12 +5,14 @@
     Class, Freshness, GroupId, Idempotency, MemberReport, MemberState, Outcome, RequestId, Settings, Time,
 };
 use routing::{
-    AttemptGuard, BackendProtocol, ClientRequest, Clock, Connection, EndpointEntry, EndpointUpdate,
-    EndpointsHandle, Exchange, ExchangeResult, FinalResponse, Metrics, NotSent, RouterBuilder, RouterHandle,
+    AttemptGuard, BackendProtocol, ClientRequest, Clock, Connection, ConnectionPermit, EndpointEntry,
+    EndpointUpdate, EndpointsHandle, Exchange, ExchangeResult, FinalResponse, Handshake, Metrics, NotSent,
+    RouterBuilder, RouterHandle, ServerSocket,
 };
 use settings::Limits;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::IoSlice;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -113,7 +115,7 @@
 pub(crate) struct ScriptedConnection {
     script: Arc<Script<ScriptedEndpoint>>,
     addr: SocketAddr,
-    socket: Arc<TcpStream>,
+    socket: ServerSocket,
 }
 
 impl Drop for ScriptedConnection {
@@ -132,23 +134,24 @@
     type Response = SocketAddr;
     type Connection = ScriptedConnection;
 
-    fn connect(&self, addr: SocketAddr) -> Result<ScriptedConnection, Outcome> {
+    fn connect(&self, addr: SocketAddr, permit: ConnectionPermit) -> Result<ScriptedConnection, Outcome> {
         self.script.with(addr, |e| e.connects += 1);
         self.script.pass(addr, Pause::Connect);
         if self.script.with(addr, |e| e.unreachable) {
             return Err(Outcome::ConnectFailed);
         }
-        let socket = Arc::new(TcpStream::connect(self.listener.local_addr().unwrap()).unwrap());
+        let listener = self.listener.local_addr().unwrap();
+        let socket = Handshake::connect(permit, listener, &common::limits()).unwrap().finish().unwrap();
         Ok(ScriptedConnection { script: self.script.clone(), addr, socket })
     }
 }
 
 impl Connection<ScriptedProtocol> for ScriptedConnection {
-    fn socket(&self) -> Arc<TcpStream> {
+    fn socket(&self) -> ServerSocket {
         self.socket.clone()
     }
 
-    fn is_usable(&mut self, idle_for: Duration) -> bool {
+    fn is_usable(&mut self, idle_for: Duration, _: ConnectionPermit) -> bool {
         self.script.with(self.addr, |e| {
             e.idle_for = idle_for;
             !e.closes_idle
@@ -164,24 +167,25 @@
         let report = MemberReport { primary: Some(true), position: Some(Time(1)) };
         let ok = ExchangeResult { reusable: true, ..ExchangeResult::from_outcome(Outcome::Ok) };
         if let Exchange::Probe = exchange {
-            if !guard.try_start() {
+            if guard.permit_write().is_err() {
                 return Err(NotSent::Cancelled);
             }
             script.with(addr, |e| e.probes += 1);
             return Ok(ExchangeResult { load_report: report, ..ok });
         }
         script.pass(addr, Pause::Start);
-        if !guard.try_start() {
+        let Ok(permit) = guard.permit_write() else {
             script.with(addr, |e| e.cancelled += 1);
             return Err(NotSent::Cancelled);
-        }
+        };
         let panics = script.with(addr, |e| take_one(&mut e.panics));
         assert!(!panics, "as the test wants it");
         script.pass(addr, Pause::Write);
         if script.with(addr, |e| take_one(&mut e.write_failures)) {
             return Err(NotSent::ConnectionBroken);
         }
-        guard.mark_sent();
+        // Where it was cancelled meanwhile, its connection is shut down.
+        _ = self.socket.write_last(permit, &mut [IoSlice::new(b"request")]);
         script.with(addr, |e| e.written += 1);
         script.pass(addr, Pause::Response);
         Ok(match script.with(addr, |e| e.outcomes.pop_front()) {
@@ -284,6 +288,7 @@
     pub(crate) fn submit_within(&self, group: u32, class: usize, timeout_micros: i64) -> Submitted {
         let ((response_sender, response), (in_use_sender, in_use)) = (bounded(1), bounded(0));
         let request = ClientRequest {
+            connection: 1,
             class,
             tenant: None,
             session: None,
--- a/routing/tests/placement/script.rs
+++ b/routing/tests/placement/script.rs
@@ -4,13 +4,15 @@
 use decision::{Class, Freshness, GroupId, Idempotency, MemberReport, Outcome, Settings, Time};
 use placement::News;
 use routing::{
-    AttemptGuard, BackendProtocol, ClientRequest, Clock, Connection, EndpointEntry, EndpointUpdate,
-    EndpointsHandle, Exchange, ExchangeResult, FinalResponse, NotSent, Refusal, RouterBuilder, RouterHandle,
+    AttemptGuard, BackendProtocol, ClientRequest, Clock, Connection, ConnectionPermit, EndpointEntry,
+    EndpointUpdate, EndpointsHandle, Exchange, ExchangeResult, FinalResponse, Handshake, NotSent, Refusal,
+    RouterBuilder, RouterHandle, ServerSocket,
 };
 use settings::Limits;
 use settings::fleet::{Fleet, Place, Tenant};
 use std::collections::VecDeque;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::IoSlice;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -61,7 +63,7 @@
 pub(crate) struct ScriptedConnection {
     protocol: ScriptedProtocol,
     addr: SocketAddr,
-    socket: Arc<TcpStream>,
+    socket: ServerSocket,
 }
 
 impl BackendProtocol for ScriptedProtocol {
@@ -70,14 +72,15 @@
     type Response = SocketAddr;
     type Connection = ScriptedConnection;
 
-    fn connect(&self, addr: SocketAddr) -> Result<ScriptedConnection, Outcome> {
+    fn connect(&self, addr: SocketAddr, permit: ConnectionPermit) -> Result<ScriptedConnection, Outcome> {
         wait_while(&self.script, addr, |e| e.paused.connections);
         let refused = self.script.with(addr, |e| e.outcomes.pop_front_if(|o| *o == Outcome::ConnectFailed));
         if refused.is_some() {
             return Err(Outcome::ConnectFailed);
         }
-        let socket = TcpStream::connect(self.listener.local_addr().unwrap()).unwrap();
-        Ok(ScriptedConnection { protocol: self.clone(), addr, socket: Arc::new(socket) })
+        let listener = self.listener.local_addr().unwrap();
+        let socket = Handshake::connect(permit, listener, &common::limits()).unwrap().finish().unwrap();
+        Ok(ScriptedConnection { protocol: self.clone(), addr, socket })
     }
 }
 
@@ -86,11 +89,11 @@
 }
 
 impl Connection<ScriptedProtocol> for ScriptedConnection {
-    fn socket(&self) -> Arc<TcpStream> {
+    fn socket(&self) -> ServerSocket {
         self.socket.clone()
     }
 
-    fn is_usable(&mut self, _: Duration) -> bool {
+    fn is_usable(&mut self, _: Duration, _: ConnectionPermit) -> bool {
         // Each exchange opens a connection of its own, so that the script decides on each connection.
         false
     }
@@ -100,9 +103,7 @@
         exchange: Exchange<'_, ScriptedProtocol>,
         guard: &AttemptGuard,
     ) -> Result<ExchangeResult<SocketAddr>, NotSent> {
-        if !guard.try_start() {
-            return Err(NotSent::Cancelled);
-        }
+        let permit = guard.permit_write().map_err(|_| NotSent::Cancelled)?;
         let (script, addr) = (&self.protocol.script, self.addr);
         let ok = ExchangeResult { reusable: true, ..ExchangeResult::from_outcome(Outcome::Ok) };
         match exchange {
@@ -113,7 +114,8 @@
             }
             Exchange::Attempt(write, _) => {
                 script.with(addr, |e| e.attempts += 1);
-                guard.mark_sent();
+                // Where it was cancelled meanwhile, its connection is shut down.
+                _ = self.socket.write_last(permit, &mut [IoSlice::new(b"request")]);
                 wait_while(script, addr, |e| e.paused.attempts);
                 let (outcome, response_report) = script.with(addr, |e| (e.outcomes.pop_front(), report(e)));
                 let missed =
@@ -258,6 +260,7 @@
     ) -> Receiver<FinalResponse<SocketAddr>> {
         let (response_sender, response) = bounded(1);
         self.handle.submit(ClientRequest {
+            connection: 1,
             class,
             tenant: tenant.map(Arc::from),
             session: None,
--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -133,12 +133,12 @@
             limits: limits.clone(),
             clock: Clock::new(),
             responded: None,
-            metrics,
+            metrics: metrics.clone(),
             placement: None,
         };
         let (handle, endpoints) = builder.start().map_err(Error::Core)?;
         let front = Front::new(handle.clone(), limits.clone(), &start.names.classes, &start.settings);
-        let clients = ClientServer::new(front.clone(), limits.clone());
+        let clients = ClientServer::new(front.clone(), limits.clone(), metrics);
         Ok(Router { handle, endpoints, front, clients, limits })
     }
 
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -94,8 +94,8 @@
         None => shutdown_orders,
         Some(client) => shutdown::deregister_on_shutdown(client, shutdown_orders, stack_bytes)?,
     };
-    let served =
-        ClientServer::new(front, environment.limits).serve(ClientListener::Exclusive(listener), &orders);
+    let served = ClientServer::new(front, environment.limits, None)
+        .serve(ClientListener::Exclusive(listener), &orders);
     sessions.stop();
     // No request is admitted any more, so the fleet may give this router's share to the others.
     if let Some(fleet) = fleet {
