Add a preloaded fault library and the platform's half of the soak

The package faults is a shared library for LD_PRELOAD that moves the wall clock and fails, interrupts or shortens system calls of one process, told by a file that it maps, so that faults change while the process runs; fault-control writes that file without linking the library.

--- /dev/null
+++ b/faults/tests/preload.rs
@@ -0,0 +1,126 @@
+//! The library in processes of its own: this test program, started anew with the library preloaded, does one thing that
+//! the library may disturb and says what came of it.
+use fault_control::{CONTROL_VARIABLE, ControlFile, Fault, SCALE};
+use std::fs::File;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// What the started process is to do.
+const TASK_VARIABLE: &str = "DAMSONVALE_FAULTS_TASK";
+
+fn library() -> PathBuf {
+    let program = std::env::current_exe().unwrap();
+    let folders = program.ancestors().skip(1).take(2);
+    let found = folders.map(|folder| folder.join("libfaults.so")).filter(|path| path.exists());
+    found.last().expect("the library is built beside the tests")
+}
+
+/// Runs a task in a process with the library, and returns the line that it prints.
+fn run(task: &str, control: &Path) -> String {
+    let output = Command::new(std::env::current_exe().unwrap())
+        .args(["task_of_a_started_process", "--exact", "--nocapture"])
+        .env("LD_PRELOAD", library())
+        .env(CONTROL_VARIABLE, control)
+        .env(TASK_VARIABLE, task)
+        .env("DAMSONVALE_FAULTS_FOLDER", control.parent().unwrap())
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let said = text.split("said: ").nth(1).and_then(|rest| rest.lines().next());
+    said.unwrap_or_else(|| panic!("{task}: {text} {}", String::from_utf8_lossy(&output.stderr))).to_string()
+}
+
+fn control() -> (tempfile::TempDir, PathBuf, ControlFile) {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("faults");
+    let control = ControlFile::create(&path).unwrap();
+    (folder, path, control)
+}
+
+fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs()
+}
+
+/// Not a test by itself: what [`run`] starts.
+#[test]
+fn task_of_a_started_process() {
+    let Ok(task) = std::env::var(TASK_VARIABLE) else { return };
+    let said = match task.as_str() {
+        "clock" => {
+            let monotonic = Instant::now();
+            format!("{} {}", unix_seconds(), monotonic.elapsed() < Duration::from_secs(5))
+        }
+        "thread" => {
+            let start = || std::thread::Builder::new().spawn(|| ()).err().and_then(|e| e.raw_os_error());
+            // Only now: the test harness of this process has started a thread of its own.
+            let path = std::env::var(CONTROL_VARIABLE).unwrap();
+            let control = ControlFile::open(Path::new(&path)).unwrap();
+            control.set_fault(Fault::Thread, SCALE).unwrap();
+            let failed = start();
+            control.clear_faults().unwrap();
+            format!("{failed:?} {:?}", start())
+        }
+        "accept" => {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            listener.set_nonblocking(true).unwrap();
+            let errors: Vec<i32> = (0..50).filter_map(|_| listener.accept().err()?.raw_os_error()).collect();
+            format!("{}", errors.iter().all(|e| *e != 11))
+        }
+        "connect" => {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            format!("{}", TcpStream::connect(listener.local_addr().unwrap()).is_err())
+        }
+        "short" => {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let mut near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            let mut far = listener.accept().unwrap().0;
+            let written = near.write(b"abc").unwrap();
+            near.write_all(b"bc").unwrap();
+            let read = far.read(&mut [0; 3]).unwrap();
+            format!("{written} {read}")
+        }
+        "file" => {
+            let folder = PathBuf::from(std::env::var("DAMSONVALE_FAULTS_FOLDER").unwrap());
+            let mut file = File::create(folder.join("written")).unwrap();
+            format!("{} {}", file.write_all(b"abcdef").is_err(), file.sync_all().is_err())
+        }
+        other => panic!("no task {other}"),
+    };
+    println!("said: {said}");
+}
+
+#[test]
+fn wall_clock_is_moved_and_the_monotonic_one_is_not() {
+    let (_folder, path, control) = control();
+    assert!(run("clock", &path).ends_with("true"));
+    for hours in [-1i64, 1] {
+        control.set_clock_offset(hours * 3_600_000_000).unwrap();
+        let said = run("clock", &path);
+        let seconds: u64 = said.split(' ').next().unwrap().parse().unwrap();
+        let expected = unix_seconds().checked_add_signed(hours * 3600).unwrap();
+        assert!(seconds.abs_diff(expected) <= 2, "{said}");
+    }
+}
+
+#[test]
+fn calls_fail_as_the_control_file_says_and_stop_failing_with_it() {
+    let (folder, path, control) = control();
+    let cases = [
+        (Fault::Accept, "accept", "true", "false"),
+        (Fault::Connect, "connect", "true", "false"),
+        (Fault::Short, "short", "1 1", "3 3"),
+        (Fault::FileWrite, "file", "true false", "false false"),
+        (Fault::FileSync, "file", "false true", "false false"),
+    ];
+    for (fault, task, failing, working) in cases {
+        control.set_fault(fault, SCALE).unwrap();
+        assert_eq!(run(task, &path), failing, "{fault:?}");
+        control.clear_faults().unwrap();
+        assert_eq!(run(task, &path), working, "{fault:?}");
+    }
+    assert!(folder.path().join("written").exists());
+    assert_eq!(run("thread", &path), "Some(11) None");
+}
--- a/lab/src/error.rs
+++ b/lab/src/error.rs
@@ -73,6 +73,17 @@
     /// Nothing would be sent.
     #[error("expected statements with shares, a rate and a time above 0")]
     NoLoad,
+    /// A log holds no line of a request.
+    #[error(
+        "the log names no such request; write it with DAMSONVALE_LOG=debug, and look at the number or the id"
+    )]
+    NotLogged,
+    /// A soak's plan can't be played.
+    #[error(transparent)]
+    SoakPlan(#[from] soak::plan::PlanError),
+    /// A soak could not be played: a port, a folder, a thread or a process was not to be had.
+    #[error("the soak could not be played: {0}")]
+    Soak(std::io::Error),
     /// A time is beyond what is counted.
     #[error("a time can't be counted: {0}")]
     Counted(Box<dyn std::error::Error>),
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,9 +2,11 @@
 mod chart;
 mod count;
 mod error;
+mod life;
 mod load;
 mod processes;
 mod run;
+mod soak;
 mod spread;
 mod table;
 
@@ -42,6 +44,10 @@
     },
     /// Prints a plan with every key and its default, to begin from.
     Plan,
+    /// Plays real routers under overlapping troubles drawn from a seed, and holds them to their promises.
+    Soak(soak::Soak),
+    /// Prints one request's whole life from a router's log.
+    Life(life::Life),
     /// Counts what a fleet did, second by second, from its routers' logs (`--logs` of the bench).
     Count(count::Count),
 }
@@ -54,6 +60,8 @@
         Command::Processes(asked) => processes::run(&asked),
         Command::Compare { before, after, spread } => run::compare(&before, &after, spread.as_deref()),
         Command::Count(asked) => count::run(&asked),
+        Command::Life(asked) => life::run(&asked),
+        Command::Soak(asked) => soak::run(&asked),
         Command::Plan => {
             toml::to_string(&emulator::Plan::default()).map_err(Into::into).map(|text| print!("{text}"))
         }
