Play serve in the soak: sessions, store of three, membership; tighten the slow start's figures

The second front of the soak: routers of serve with sessions on disk and among peers, three of them nodes of a replicated store, membership, stand-in MySQL servers behind proxies; oracles on sessions, writes that must not run twice and the store.

--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -212,6 +212,30 @@
     pub ended: bool,
 }
 
+/// A read of a session (`serve`).
+#[derive(Clone, Debug)]
+pub struct SessionRead {
+    /// The session.
+    pub session: String,
+    /// The newest write of the session that its client had been told of before.
+    pub told: u64,
+    /// What the read showed.
+    pub seen: u64,
+    /// When it was sent.
+    pub at: Micros,
+}
+
+/// What was confirmed of the store, and what it held at the end (`serve`).
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreRecord {
+    /// The last number that was confirmed.
+    pub confirmed: u64,
+    /// What the key held at the end.
+    pub found: Option<u64>,
+    /// Whether the store took changes again at the end.
+    pub came_back: bool,
+}
+
 /// What was recorded in one run.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -239,6 +263,12 @@
     pub failed_starts: Vec<String>,
     /// The program's own count of violated invariants, by router and name.
     pub invariant_violations: Vec<(usize, String, u64)>,
+    /// Reads of sessions (`serve`).
+    pub session_reads: Vec<SessionRead>,
+    /// The writes that the servers have run, by session, in the order of their commits (`serve`).
+    pub writes_run: Vec<(String, Vec<u64>)>,
+    /// The store (`serve`).
+    pub store: Option<StoreRecord>,
     /// When the load ended.
     pub load_ended_at: Micros,
 }
--- a/soak/src/oracle/mod.rs
+++ b/soak/src/oracle/mod.rs
@@ -2,6 +2,7 @@
 mod limits;
 mod members;
 mod requests;
+mod serve;
 
 use crate::history::{Absence, History, Micros, SECOND};
 use std::collections::BTreeSet;
@@ -100,6 +101,7 @@
     let mut breaches = requests::check(history);
     breaches.extend(members::check(history));
     breaches.extend(limits::check(history));
+    breaches.extend(serve::check(history));
     breaches
 }
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -10,7 +10,7 @@
 pub enum Front {
     /// The platform's front, with discovery and stand-in servers of the platform.
     Platform,
-    /// `serve`: the MySQL front with sessions and a replicated store.
+    /// `serve`: the `MySQL` front with sessions and a replicated store.
     Serve,
 }
 
--- a/soak/src/platform/settings.rs
+++ b/soak/src/platform/settings.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 
 /// The share of its capacity with which a server starts.
-pub const COLD_FROM: f64 = 0.15;
+pub const COLD_FROM: f64 = 0.1;
 /// A started server has its full capacity after this many milliseconds.
 pub const COLD_MS: f64 = 6000.0;
 /// A cold server falls when it gets more than this multiple of its capacity
-pub const OVERLOAD_FACTOR: f64 = 2.5;
+pub const OVERLOAD_FACTOR: f64 = 2.0;
 /// over this time.
 pub const OVERLOAD_WINDOW: Micros = 1_000_000;
 /// How long after the notice a drained server may still get something new.
--- a/soak/src/platform/troubles.rs
+++ b/soak/src/platform/troubles.rs
@@ -255,7 +255,6 @@
     }
 
     fn behave(&self, change: impl FnOnce(&mut crate::world::clients::Behaviour)) {
-        self.clients.iter().for_each(|clients| clients.behave(|_| ()));
         if let Some(clients) = &self.clients {
             clients.behave(change);
         }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -184,6 +184,12 @@
         self.changed.notify_all();
     }
 
+    /// The writes that have run, by session, in the order of their commits.
+    pub fn writes_by_session(&self) -> Vec<(String, Vec<u64>)> {
+        let numbers = |items: &Vec<(Micros, u64)>| items.iter().map(|(_, n)| *n).collect();
+        self.world().log.iter().map(|(session, items)| (session.clone(), numbers(items))).collect()
+    }
+
     /// What a server has done.
     pub fn counts(&self, server: usize) -> Counts {
         let s = &self.world().servers[server];
