--- a/lab/src/soak.rs
+++ b/lab/src/soak.rs
@@ -33,6 +33,9 @@
     /// Of the first seed that fails, leaves out troubles while it still does, and prints the plan that is left.
     #[arg(long)]
     reduce: bool,
+    /// Writes the processes' logs into this folder, at the level debug; `life` reads a request back from one.
+    #[arg(long)]
+    logs: Option<PathBuf>,
     /// Prints the troubles of each seed.
     #[arg(long)]
     troubles: bool,
@@ -55,7 +58,11 @@
         Some(own.parent()?.join("damsonvale"))
     };
     let program = asked.program.clone().or_else(beside).filter(|path| path.exists());
-    let programs = Programs::beside(&program.ok_or(Error::NoProgram)?);
+    let mut programs = Programs::beside(&program.ok_or(Error::NoProgram)?);
+    if let Some(folder) = &asked.logs {
+        std::fs::create_dir_all(folder).map_err(|e| Error::write(folder, e))?;
+        programs.logs = Some(folder.clone());
+    }
     if programs.library.is_none() {
         eprintln!(
             "no libfaults.so beside the router (cargo build -p faults): no clock is stepped and no call fails"
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -78,6 +78,8 @@
     pub router: usize,
     /// Its client's connection, unique in a run.
     pub connection: u64,
+    /// When its connection was opened.
+    pub opened_at: Micros,
     /// Its place among the requests of its connection.
     pub place: usize,
     /// Its class.
--- a/soak/src/router.rs
+++ b/soak/src/router.rs
@@ -4,6 +4,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use std::collections::VecDeque;
+use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -23,6 +24,8 @@
     pub router: PathBuf,
     /// The preloaded library; without it no clock is stepped and no call fails.
     pub library: Option<PathBuf>,
+    /// A folder for the processes' whole logs, at the level debug.
+    pub logs: Option<PathBuf>,
 }
 
 impl Programs {
@@ -30,7 +33,8 @@
     pub fn beside(router: &Path) -> Programs {
         let folder = router.parent().unwrap_or(Path::new("."));
         let places = [folder.join("libfaults.so"), folder.join("deps").join("libfaults.so")];
-        Programs { router: router.to_path_buf(), library: places.into_iter().find(|path| path.exists()) }
+        let library = places.into_iter().find(|path| path.exists());
+        Programs { router: router.to_path_buf(), library, logs: None }
     }
 }
 
@@ -58,11 +62,23 @@
             command.env("LD_PRELOAD", library).env(CONTROL_VARIABLE, control);
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        if programs.logs.is_some() {
+            command.env("DAMSONVALE_LOG", "debug");
+        }
         let mut child = command.spawn()?;
+        let mut kept = match &programs.logs {
+            Some(folder) => {
+                let name = control.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+                Some(File::create(folder.join(format!("{name}-{}.log", child.id())))?)
+            }
+            None => None,
+        };
         let log = Arc::new(Mutex::new(VecDeque::new()));
         let (own, from) = (log.clone(), child.stderr.take());
         let read = move || {
             for line in from.into_iter().flat_map(|from| BufReader::new(from).lines()).map_while(Result::ok) {
+                // A log that can't be written is missing in part: the run goes on.
+                kept.iter_mut().for_each(|file| _ = writeln!(file, "{line}"));
                 let mut log: std::sync::MutexGuard<'_, VecDeque<String>> =
                     own.lock().unwrap_or_else(PoisonError::into_inner);
                 if log.len() == KEPT_LINES {
--- a/soak/src/serve/load.rs
+++ b/soak/src/serve/load.rs
@@ -25,12 +25,18 @@
     threads: Vec<JoinHandle<()>>,
 }
 
+struct Open {
+    conn: Conn,
+    opened_at: Micros,
+    used_at: Micros,
+}
+
 struct Session {
     name: String,
     rng: fastrand::Rng,
     routers: Vec<SocketAddr>,
-    /// A connection to each router, and when it was used last.
-    open: Vec<Option<(Conn, Micros)>>,
+    /// A connection to each router.
+    open: Vec<Option<Open>>,
     clock: WorldClock,
     recorder: Recorder,
     think: Micros,
@@ -111,9 +117,10 @@
         let fresh = self.open[router].is_none();
         if fresh {
             let address = self.routers[router];
-            self.open[router] = connect(address).ok().map(|conn| (conn, now));
+            self.open[router] = connect(address).ok().map(|conn| Open { conn, opened_at: now, used_at: now });
         }
-        let (conn, used_at) = self.open[router].as_mut()?;
+        let Open { conn, opened_at, used_at } = self.open[router].as_mut()?;
+        let opened_at = *opened_at;
         let rested = now - std::mem::replace(used_at, now) > IDLE;
         let sent_at = self.clock.now();
         let answer = conn.query_first::<(String, String), _>(statement);
@@ -132,6 +139,7 @@
             id: self.next_id,
             router,
             connection: 0,
+            opened_at,
             // A connection that rested may be ended as a request is on its way.
             place: usize::from(rested),
             class,
