Put the times that servers, discovery and clients state on the router's own clock

Cause: the router goes by a clock that is set once at its start and monotonic since, and compared Unix times that others read off their wall clocks with it as they stood: EndpointListParser::entry (started_ms), answer::position (wal_time, stats), Front::submit (after). After a step back a cold server looked warm, and a replica's position from before the step, which the decisions only let rise, stood above every commit made since; after a step forward a server that starts would stay cold for as long as the step.

routing::wall_clock notices a step by comparing both clocks whenever a time is stated, and keeps the offsets from before: a start and a commit are taken as late as they may be meant, a replica's position as early, unless the replica has shown that it goes by the clock as it is now. A start keeps the moment that it was first taken for.

The same mistake elsewhere: searched for SystemTime, UNIX_EPOCH and every Time built from parsed text in all packages.

--- a/admin/tests/common/router.rs
+++ b/admin/tests/common/router.rs
@@ -7,7 +7,7 @@
 use routing::{
     AttemptGuard, BackendProtocol, Clock, Connection, ConnectionPermit, EndpointEntry, EndpointUpdate,
     EndpointsHandle, Exchange, ExchangeResult, GroupId, MemberState, Metrics, NotSent, Outcome,
-    RouterMessage, ServerSocket,
+    RouterMessage, ServerSocket, WallClock,
 };
 use settings::Limits;
 use std::net::SocketAddr;
@@ -106,8 +106,13 @@
         let limits = limits();
         let metrics = Metrics::new(&["order".to_string()]).unwrap();
         let (to_core, core) = unbounded();
-        let endpoints =
-            routing::endpoints::start::<UnusedProtocol>(&limits, to_core, Some(metrics.clone())).unwrap();
+        let endpoints = routing::endpoints::start::<UnusedProtocol>(
+            &limits,
+            to_core,
+            Some(metrics.clone()),
+            WallClock::new(Clock::new()),
+        )
+        .unwrap();
         let (to_clients, orders) = bounded(64);
         let (to_callbacks, callbacks): (Sender<Effect>, _) = unbounded();
         let accepting = Arc::new(AtomicBool::new(false));
--- a/discovery/tests/watch/support.rs
+++ b/discovery/tests/watch/support.rs
@@ -2,8 +2,8 @@
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use discovery::Watch;
 use routing::{
-    AttemptGuard, BackendProtocol, Connection, ConnectionPermit, EndpointUpdate, EndpointsHandle, Exchange,
-    ExchangeResult, NotSent, Outcome, RouterMessage, ServerSocket,
+    AttemptGuard, BackendProtocol, Clock, Connection, ConnectionPermit, EndpointUpdate, EndpointsHandle,
+    Exchange, ExchangeResult, NotSent, Outcome, RouterMessage, ServerSocket, WallClock,
 };
 use settings::Limits;
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -176,7 +176,8 @@
         // None has to make room, however slowly a test goes on.
         limits.watch_most = 64;
         let (sender, updates) = bounded(64);
-        let list = routing::endpoints::start(&limits, sender.clone(), None).unwrap();
+        let list =
+            routing::endpoints::start(&limits, sender.clone(), None, WallClock::new(Clock::new())).unwrap();
         let watch = Watch::new(vec!["a".into()], Arc::new(limits), list.clone());
         WatchedList { watch, list, updates, _sender: sender }
     }
--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -22,9 +22,6 @@
 use std::sync::atomic::{AtomicIsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// In microseconds.
-const DAY: i64 = 86_400_000_000;
-
 fn micros(ms: u64) -> i64 {
     i64::try_from(ms).unwrap_or(i64::MAX).saturating_mul(1000)
 }
@@ -401,6 +398,7 @@
             SessionId(h.finish())
         });
         let (answer, given) = bounded(1);
+        let wall_clock = &self.handle.wall_clock;
         let incoming = ClientRequest {
             connection: opened.connection.id,
             class,
@@ -409,8 +407,7 @@
             group: GroupId(statement.group),
             // Nobody waits longer than the class does, whatever is said.
             deadline: Time(now.0 + micros(statement.wait_ms).min(longest)),
-            // What lies ahead of any clock is as far as what lies a day ahead, and can be reckoned with.
-            session_commit: statement.after_ms.map(|ms| Time(ms.saturating_mul(1000).min(now.0 + DAY))),
+            session_commit: statement.after_ms.map(|ms| wall_clock.commit(Time(ms.saturating_mul(1000)))),
             payload: statement,
             response_sender: answer,
         };
--- a/postgres/src/link.rs
+++ b/postgres/src/link.rs
@@ -4,7 +4,7 @@
 use crate::statement::Statement;
 use routing::{
     AttemptGuard, BackendProtocol, Clock, Connection, ConnectionPermit, Exchange, ExchangeResult, Handshake,
-    NotSent, Outcome, ServerSocket,
+    NotSent, Outcome, ServerSocket, WallClock,
 };
 use settings::Limits;
 use std::io;
@@ -15,13 +15,13 @@
 /// The platform's wire.
 pub struct Postgres {
     limits: Arc<Limits>,
-    clock: Clock,
+    wall_clock: WallClock,
 }
 
 impl Postgres {
-    /// A wire within these bounds.
-    pub fn new(limits: Arc<Limits>) -> Self {
-        Postgres { limits, clock: Clock::new() }
+    /// A wire within these bounds; times that instances state are put on this clock.
+    pub fn new(limits: Arc<Limits>, clock: Clock) -> Self {
+        Postgres { limits, wall_clock: WallClock::new(clock) }
     }
 }
 
@@ -30,7 +30,8 @@
     socket: ServerSocket,
     buffer: Buffer,
     limits: Arc<Limits>,
-    clock: Clock,
+    wall_clock: WallClock,
+    addr: SocketAddr,
 }
 
 impl BackendProtocol for Postgres {
@@ -67,9 +68,9 @@
             }
         }
         let buffer = Buffer::new(self.limits.value_bytes + BESIDE);
-        let (limits, clock) = (self.limits.clone(), self.clock);
+        let (limits, wall_clock) = (self.limits.clone(), self.wall_clock.clone());
         let socket = handshake.finish().map_err(failed)?;
-        Ok(PostgresLink { socket, buffer, limits, clock })
+        Ok(PostgresLink { socket, buffer, limits, wall_clock, addr })
     }
 }
 
@@ -161,7 +162,7 @@
                     _ => break End::Closed,
                 },
             };
-            if let Some(end) = parser.take(self.buffer.get(frame.whole), self.clock.now()) {
+            if let Some(end) = parser.take(self.buffer.get(frame.whole), self.wall_clock.now()) {
                 break end;
             }
             if !settling && parser.complete() {
@@ -173,6 +174,18 @@
                 until = until.min(now + left.min(self.limits.answer_settle));
             }
         };
-        parser.end(end, self.buffer.ahead(), self.clock.now())
+        let result = parser.end(end, self.buffer.ahead(), self.wall_clock.now());
+        self.on_own_clock(result)
+    }
+
+    /// The times that the instance has stated, on the router's own clock.
+    fn on_own_clock(&self, mut result: ExchangeResult<Vec<u8>>) -> ExchangeResult<Vec<u8>> {
+        for report in [&mut result.response_report, &mut result.load_report] {
+            let is_primary = report.primary == Some(true);
+            report.position =
+                report.position.and_then(|at| self.wall_clock.position(self.addr, at, is_primary));
+        }
+        result.commit = result.commit.map(|at| self.wall_clock.commit(at));
+        result
     }
 }
--- a/postgres/tests/common/mod.rs
+++ b/postgres/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 use postgres::link::{Postgres, PostgresLink};
 use postgres::statement::Statement;
+use routing::Clock;
 use routing::Outcome;
 use routing::protocol::{
     AttemptGuard, BackendProtocol, Connection, ConnectionPermit, Exchange, ExchangeResult, NotSent,
@@ -97,7 +98,7 @@
 }
 
 pub fn open(limits: &Limits, addr: SocketAddr) -> Result<PostgresLink, Outcome> {
-    Postgres::new(Arc::new(limits.clone())).connect(addr, permit())
+    Postgres::new(Arc::new(limits.clone()), Clock::new()).connect(addr, permit())
 }
 
 /// A permit to open or check a connection.
--- a/postgres/tests/leaving.rs
+++ b/postgres/tests/leaving.rs
@@ -47,7 +47,7 @@
         let names = ["order".to_string()];
         let figures = Metrics::new(&names).unwrap();
         let start = RouterBuilder {
-            protocol: Postgres::new(limits.clone()),
+            protocol: Postgres::new(limits.clone(), Clock::new()),
             settings: settings(),
             seed: 7,
             limits: limits.clone(),
--- a/postgres/tests/links.rs
+++ b/postgres/tests/links.rs
@@ -6,7 +6,7 @@
 };
 use postgres::link::Postgres;
 use routing::protocol::{BackendProtocol, Connection, NotSent};
-use routing::{Outcome, ServerSocket};
+use routing::{Clock, Outcome, ServerSocket};
 use settings::Limits;
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
@@ -268,7 +268,7 @@
     limits.connect = Duration::from_millis(1600);
     let opening = std::thread::spawn(move || {
         let begun = Instant::now();
-        (Postgres::new(Arc::new(limits)).connect(addr, permit()).err(), begun.elapsed())
+        (Postgres::new(Arc::new(limits), Clock::new()).connect(addr, permit()).err(), begun.elapsed())
     });
     let begun = Instant::now();
     while !waits_for(addr) {
--- a/routing/src/clock.rs
+++ b/routing/src/clock.rs
@@ -37,6 +37,12 @@
         self.time_at(Instant::now())
     }
 
+    /// What the system's wall clock shows now, as Unix time in microseconds. It may be stepped at any time.
+    pub fn wall_now() -> Time {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Time(unix.as_micros() as i64)
+    }
+
     /// A moment of the monotonic clock as Unix time in microseconds.
     pub fn time_at(&self, instant: Instant) -> Time {
         let since_start = instant.saturating_duration_since(self.start);
--- a/routing/src/endpoints.rs
+++ b/routing/src/endpoints.rs
@@ -7,6 +7,7 @@
 use crate::metrics::Metrics;
 use crate::protocol::BackendProtocol;
 use crate::spawn;
+use crate::wall_clock::WallClock;
 use actor::EndpointsActor;
 use crossbeam_channel::{Sender, bounded};
 use settings::Limits;
@@ -93,7 +94,7 @@
     }
 }
 
-/// Starts the actor, which passes updates on to `router`.
+/// Starts the actor, which passes updates on to `router`. Starts that updates state are put on the router's own clock.
 ///
 /// # Errors
 /// Its thread could not be started.
@@ -101,10 +102,12 @@
     limits: &Limits,
     router: Sender<RouterMessage<P>>,
     metrics: Option<Arc<Metrics>>,
+    wall_clock: WallClock,
 ) -> std::io::Result<EndpointsHandle> {
     let (sender, mailbox) = bounded(limits.mailbox);
     let handle = EndpointsHandle { sender, published: Published::default() };
     let published = handle.published.clone();
-    spawn("list", limits.stack_bytes, move || EndpointsActor::new(router, published, metrics).run(&mailbox))?;
+    let actor = EndpointsActor::new(router, published, metrics, wall_clock);
+    spawn("list", limits.stack_bytes, move || actor.run(&mailbox))?;
     Ok(handle)
 }
--- a/routing/src/endpoints/actor.rs
+++ b/routing/src/endpoints/actor.rs
@@ -4,8 +4,9 @@
 use crate::messages::RouterMessage;
 use crate::metrics::Metrics;
 use crate::protocol::BackendProtocol;
+use crate::wall_clock::WallClock;
 use crossbeam_channel::{Receiver, SendError, Sender};
-use decision::{GroupId, MemberState};
+use decision::{GroupId, MemberState, Time};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -29,6 +30,17 @@
     ahead: BTreeMap<String, u64>,
     /// As last passed on.
     unavailable_groups: BTreeSet<GroupId>,
+    wall_clock: WallClock,
+    /// By endpoint, the start that was stated last, and the moment that it was taken for: it stays that moment, whatever
+    /// the wall clock does later.
+    starts: BTreeMap<String, StatedStart>,
+}
+
+/// A start as stated, and the moment that it was taken for.
+#[derive(Clone, Copy)]
+struct StatedStart {
+    stated: Time,
+    at: Time,
 }
 
 impl<P: BackendProtocol> EndpointsActor<P> {
@@ -36,6 +48,7 @@
         router: Sender<RouterMessage<P>>,
         published: Published,
         metrics: Option<Arc<Metrics>>,
+        wall_clock: WallClock,
     ) -> Self {
         EndpointsActor {
             router,
@@ -45,6 +58,8 @@
             mask: MaintenanceMask::default(),
             ahead: BTreeMap::new(),
             unavailable_groups: BTreeSet::new(),
+            wall_clock,
+            starts: BTreeMap::new(),
         }
     }
 
@@ -81,6 +96,7 @@
         if self.is_stale(&update, order) {
             return Ok(());
         }
+        self.read_starts(&mut update);
         self.apply(&mut update, order);
         if order != UpdateOrder::AfterGap || update.complete {
             self.published.set_version(update.version);
@@ -101,6 +117,25 @@
         Ok(())
     }
 
+    /// Puts stated starts on the router's own clock.
+    fn read_starts(&mut self, update: &mut EndpointUpdate) {
+        if update.complete {
+            let listed: BTreeSet<&str> = update.endpoints.iter().map(|e| e.id.as_str()).collect();
+            self.starts.retain(|id, _| listed.contains(id.as_str()));
+        }
+        for endpoint in &mut update.endpoints {
+            let Some(stated) = endpoint.started_at else { continue };
+            let known = self.starts.get(&endpoint.id).filter(|known| known.stated == stated);
+            let at = known.map_or_else(|| self.wall_clock.start(stated), |known| known.at);
+            endpoint.started_at = Some(at);
+            if endpoint.state == MemberState::Removed {
+                self.starts.remove(&endpoint.id);
+            } else {
+                self.starts.insert(endpoint.id.clone(), StatedStart { stated, at });
+            }
+        }
+    }
+
     /// Whether it is a change that is held already, repeated by a watch that was opened anew.
     fn is_stale(&self, update: &EndpointUpdate, order: UpdateOrder) -> bool {
         let may_be_older = !update.complete && order != UpdateOrder::VersionsRestarted;
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -34,6 +34,7 @@
 mod responded_endpoints;
 mod router;
 pub mod socket;
+pub mod wall_clock;
 
 #[cfg(test)]
 mod recorded_run;
@@ -51,6 +52,7 @@
 pub use request::{AttemptId, ClientRequest, FinalResponse};
 pub use responded_endpoints::RespondedEndpoints;
 pub use router::{RouterBuilder, RouterHandle};
+pub use wall_clock::WallClock;
 
 /// Starts a named thread with a stack of `stack_bytes`.
 ///
--- a/routing/src/router.rs
+++ b/routing/src/router.rs
@@ -23,6 +23,7 @@
 use crate::protocol::BackendProtocol;
 use crate::responded_endpoints::RespondedEndpoints;
 use crate::spawn;
+use crate::wall_clock::WallClock;
 use actor::RouterActor;
 use crossbeam_channel::bounded;
 use decision::Settings;
@@ -57,8 +58,10 @@
     /// A thread could not be started.
     pub fn start(self) -> std::io::Result<(RouterHandle<P>, EndpointsHandle)> {
         let (sender, mailbox) = bounded(self.limits.mailbox);
-        let endpoints = endpoints::start(&self.limits, sender.clone(), self.metrics.clone())?;
-        let handle = RouterHandle::new(sender.clone(), self.metrics.clone(), self.clock);
+        let wall_clock = WallClock::new(self.clock);
+        let endpoints =
+            endpoints::start(&self.limits, sender.clone(), self.metrics.clone(), wall_clock.clone())?;
+        let handle = RouterHandle::new(sender.clone(), self.metrics.clone(), wall_clock);
         let stack_bytes = self.limits.module_stack_bytes;
         let subsets = |settings| Box::new(PlacementSubsets::new(settings, &self.settings.classes));
         let subsets = self.placement.map(subsets);
--- a/routing/src/router/handle.rs
+++ b/routing/src/router/handle.rs
@@ -4,6 +4,7 @@
 use crate::metrics::Metrics;
 use crate::protocol::BackendProtocol;
 use crate::request::ClientRequest;
+use crate::wall_clock::WallClock;
 use crossbeam_channel::Sender;
 use decision::RequestId;
 use std::sync::Arc;
@@ -19,6 +20,8 @@
     metrics: Option<Arc<Metrics>>,
     /// The clock that deadlines are read on.
     pub clock: Clock,
+    /// Puts times that others state on that clock.
+    pub wall_clock: WallClock,
 }
 
 impl<P: BackendProtocol> Clone for RouterHandle<P> {
@@ -28,13 +31,19 @@
             next_request: self.next_request.clone(),
             metrics: self.metrics.clone(),
             clock: self.clock,
+            wall_clock: self.wall_clock.clone(),
         }
     }
 }
 
 impl<P: BackendProtocol> RouterHandle<P> {
-    pub(super) fn new(sender: Sender<RouterMessage<P>>, metrics: Option<Arc<Metrics>>, clock: Clock) -> Self {
-        RouterHandle { sender, next_request: Arc::default(), metrics, clock }
+    pub(super) fn new(
+        sender: Sender<RouterMessage<P>>,
+        metrics: Option<Arc<Metrics>>,
+        wall_clock: WallClock,
+    ) -> Self {
+        let clock = wall_clock.clock();
+        RouterHandle { sender, next_request: Arc::default(), metrics, clock, wall_clock }
     }
 
     /// Hands over a request.
--- a/routing/tests/attempt_guard.rs
+++ b/routing/tests/attempt_guard.rs
@@ -70,7 +70,7 @@
     guard.cancel_if_unstarted(Denial::ClientLeft);
     assert!(near.is_idle_and_open() && is_open_and_silent(&far), "a started exchange goes on");
     guard.detach_socket();
-    assert!(!guard.check_start().is_ok() && !starts(&guard));
+    assert!(guard.check_start().is_err() && !starts(&guard));
 }
 
 #[test]
@@ -79,7 +79,7 @@
     let guard = AttemptGuard::new(state.clone());
     assert!(guard.check_start().is_ok() && starts(&guard));
     assert!(state.set_in_service(false) && !state.set_in_service(false), "a change only once");
-    assert!(!guard.check_start().is_ok() && !starts(&guard), "also if it is written anew");
+    assert!(guard.check_start().is_err() && !starts(&guard), "also if it is written anew");
     assert!(state.set_in_service(true) && starts(&guard));
     state.retire();
     assert!(!starts(&guard) && !state.accepts_exchanges());
--- a/routing/tests/endpoints.rs
+++ b/routing/tests/endpoints.rs
@@ -2,12 +2,12 @@
 use crossbeam_channel::{Receiver, bounded, unbounded};
 use decision::{GroupId, MemberState};
 use routing::{
-    AttemptGuard, BackendProtocol, Connection, ConnectionPermit, EndpointEntry, EndpointUpdate,
+    AttemptGuard, BackendProtocol, Clock, Connection, ConnectionPermit, EndpointEntry, EndpointUpdate,
     EndpointsHandle, Exchange, ExchangeResult, NotSent, Outcome, RouterMessage, ServerSocket, UpdateOrder,
+    WallClock,
 };
 use settings::Limits;
-use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -78,7 +78,11 @@
 impl Fixture {
     fn start() -> Fixture {
         let (sender, router) = unbounded();
-        Fixture { endpoints: routing::endpoints::start(&limits(), sender, None).unwrap(), router }
+        Fixture {
+            endpoints: routing::endpoints::start(&limits(), sender, None, WallClock::new(Clock::new()))
+                .unwrap(),
+            router,
+        }
     }
 
     /// What the router actor gets of an update, and the version that a watch resumes from then.
@@ -176,7 +180,7 @@
 #[test]
 fn updates_wait_in_order_for_a_busy_router() {
     let (sender, router) = bounded::<RouterMessage<NoProtocol>>(1);
-    let endpoints = routing::endpoints::start(&limits(), sender, None).unwrap();
+    let endpoints = routing::endpoints::start(&limits(), sender, None, WallClock::new(Clock::new())).unwrap();
     let notifier = endpoints.clone();
     let notified = std::thread::spawn(move || {
         (1..=10_000).all(|version| notifier.notify(update(version, version == 1, &[("a", READY)])))
--- a/soak/src/platform/troubles.rs
+++ b/soak/src/platform/troubles.rs
@@ -95,7 +95,7 @@
             }
             Kind::Reload => return self.later(Later::ReloadAgain(0), trouble, schedule),
             Kind::DiscoverySilent => {
-                self.set_agents(trouble, AgentFault::SilentBefore(now), now + TOLD_AFTER)
+                self.set_agents(trouble, AgentFault::SilentBefore(now), now + TOLD_AFTER);
             }
             Kind::DiscoveryDown => self.set_agents(trouble, AgentFault::Down, Micros::MAX),
             Kind::DiscoverySlow => self.set_agents(trouble, AgentFault::Slow(400_000), Micros::MAX),
--- a/soak/src/serve.rs
+++ b/soak/src/serve.rs
@@ -1,5 +1,5 @@
 //! One run of `serve`: routers with sessions on disk and among peers, three of them nodes of a replicated store, one fleet
-//! by membership, in front of stand-in MySQL servers behind proxies.
+//! by membership, in front of stand-in servers behind proxies.
 mod load;
 mod settings;
 
--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -126,12 +126,13 @@
     /// Starts the core; `metrics` are counted where operators can ask for them.
     fn start(start: &Start, metrics: Option<Arc<Metrics>>) -> Result<Router, Error> {
         let limits = Arc::new(start.limits.clone());
+        let clock = Clock::new();
         let builder = routing::RouterBuilder {
-            protocol: Postgres::new(limits.clone()),
+            protocol: Postgres::new(limits.clone(), clock),
             settings: start.settings.clone(),
             seed: start.seed,
             limits: limits.clone(),
-            clock: Clock::new(),
+            clock,
             responded: None,
             metrics: metrics.clone(),
             placement: None,
