--- a/mysql/src/link.rs
+++ b/mysql/src/link.rs
@@ -117,7 +117,7 @@
 
     fn connect(&self, addr: SocketAddr, permit: ConnectionPermit) -> Result<MysqlLink, Outcome> {
         let until = Instant::now() + self.limits.connect;
-        let handshake = Handshake::connect(permit, addr, &self.limits).map_err(|_| Outcome::ConnectFailed)?;
+        let handshake = Handshake::connect(permit, addr, &self.limits)?;
         let mut reader = Reader::new(self.limits.answer_bytes);
         login(&handshake, &mut reader, &self.credentials, until).map_err(|e| match errors::meaning(e.0) {
             Meaning::Outcome(Outcome::Rejected) => Outcome::Rejected,
--- a/postgres/src/link.rs
+++ b/postgres/src/link.rs
@@ -44,7 +44,7 @@
         let failed = |_: io::Error| Outcome::ConnectFailed;
         // As a whole: an instance that accepts late has less time for its greeting.
         let until = Instant::now() + self.limits.connect;
-        let handshake = Handshake::connect(permit, addr, &self.limits).map_err(failed)?;
+        let handshake = Handshake::connect(permit, addr, &self.limits)?;
         handshake
             .write(&mut slices(&[b"\0\0\0\x26\0\x03\0\0user\0worker\0database\0catalog\0\0"]))
             .map_err(failed)?;
--- a/routing/src/permit/server_socket.rs
+++ b/routing/src/permit/server_socket.rs
@@ -1,6 +1,7 @@
 //! A connection to a server. What is written to it needs a permit; reading does not.
 use super::attempt::{ConnectionPermit, WritePermit};
 use crate::socket::{self, DeadlineReader};
+use decision::Outcome;
 use settings::Limits;
 use socket2::SockRef;
 use std::io::{self, IoSlice};
@@ -76,10 +77,22 @@
     /// greeting; the write timeout is `limits.connect`.
     ///
     /// # Errors
-    /// The connection could not be made or set up within `limits.connect`.
-    pub fn connect(_permit: ConnectionPermit, addr: SocketAddr, limits: &Limits) -> io::Result<Handshake> {
-        let socket = socket::connect_to_endpoint(addr, limits)?;
-        Ok(Handshake { socket: Some(Arc::new(socket)) })
+    /// [`Outcome::ConnectFailed`] if the connection could not be made or set up within `limits.connect`,
+    /// [`Outcome::NeverSent`] if this host lacked what it takes, which is not held against the server.
+    pub fn connect(
+        _permit: ConnectionPermit,
+        addr: SocketAddr,
+        limits: &Limits,
+    ) -> Result<Handshake, Outcome> {
+        let connected = socket::connect_to_endpoint(addr, limits);
+        match connected {
+            Ok(socket) => Ok(Handshake { socket: Some(Arc::new(socket)) }),
+            Err(error) if socket::is_local_shortage(&error) => {
+                tracing::warn!(%error, "no connection to {addr} for lack of this host's own resources");
+                Err(Outcome::NeverSent)
+            }
+            Err(_) => Err(Outcome::ConnectFailed),
+        }
     }
 
     fn stream(&self) -> io::Result<&TcpStream> {
--- a/routing/src/router/actor.rs
+++ b/routing/src/router/actor.rs
@@ -85,6 +85,8 @@
     pub(super) probe_spacing: ProbeSpacing,
     /// Groups without an available endpoint, at least partly because of maintenance.
     pub(super) unavailable_groups: BTreeSet<GroupId>,
+    /// Endpoints that a complete list lacks go on serving, unless they were listed as draining.
+    pub(super) missing_members_may_serve: bool,
     /// Checks the promises again from what was done.
     pub(super) observer: Observer,
     /// Where tenants' data is kept in its place.
@@ -100,6 +102,7 @@
             classes,
             observer: Observer::new(rules, settings.drain_grace),
             router_count: settings.router_count,
+            missing_members_may_serve: settings.missing_members_may_serve,
             probe_spacing: ProbeSpacing::new(&settings),
             decisions: Router::new(settings, seed),
             clock,
--- a/routing/src/router/endpoint_updates.rs
+++ b/routing/src/router/endpoint_updates.rs
@@ -12,7 +12,8 @@
         if self.subsets.is_some() {
             drop_reserved_groups(&mut update);
         }
-        if update.complete {
+        // Where missing members may serve, the decisions go on choosing them.
+        if update.complete && !self.missing_members_may_serve {
             self.take_missing_out_of_service(&update);
         }
         let mut entries: Vec<MemberEntry> =
--- a/routing/src/socket.rs
+++ b/routing/src/socket.rs
@@ -25,7 +25,20 @@
 /// [`io::ErrorKind::WouldBlock`] if nothing has arrived; any other error of the connection.
 pub fn peek(socket: &TcpStream) -> io::Result<usize> {
     let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
-    SockRef::from(socket).recv_with_flags(&mut [MaybeUninit::uninit()], flags)
+    loop {
+        match SockRef::from(socket).recv_with_flags(&mut [MaybeUninit::uninit()], flags) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            looked => return looked,
+        }
+    }
+}
+
+/// Whether a connection failed for lack of this host's own resources, which says nothing of the endpoint: descriptors,
+/// memory, ports, buffers.
+pub fn is_local_shortage(error: &io::Error) -> bool {
+    const SHORTAGES: [i32; 6] =
+        [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM, libc::EADDRNOTAVAIL, libc::EAGAIN];
+    error.raw_os_error().is_some_and(|code| SHORTAGES.contains(&code))
 }
 
 /// Reads from a socket until a deadline: a peer that sends a byte now and then must not occupy a thread indefinitely. The
--- a/routing/tests/handover/connections.rs
+++ b/routing/tests/handover/connections.rs
@@ -55,3 +55,24 @@
     assert_eq!(core.submit(0, IDEMPOTENT).served_by(), addr(1));
     assert_eq!(core.script.with(addr(1), |e| (e.connects, e.idle_for >= idle_for)), (1, true));
 }
+
+#[test]
+fn member_missing_from_a_complete_list_goes_on_serving_where_it_may() {
+    let mut core = Core::start_with(|_| (), |settings| settings.missing_members_may_serve = true);
+    core.list(&[endpoint("a", 1, 0), endpoint("b", 2, 1)]);
+    assert_eq!(core.submit(0, IDEMPOTENT).served_by(), addr(1));
+    core.list(&[endpoint("b", 2, 1)]);
+    assert_eq!(core.submit(0, IDEMPOTENT).served_by(), addr(1), "the list does not say that it is gone");
+}
+
+#[test]
+fn member_missing_from_a_complete_list_gets_nothing_elsewhere() {
+    let mut core = Core::start(|_| ());
+    core.list(&[endpoint("a", 1, 0), endpoint("b", 2, 1)]);
+    assert_eq!(core.submit(0, IDEMPOTENT).served_by(), addr(1));
+    core.list(&[endpoint("b", 2, 1)]);
+    let written = core.script.written(addr(1));
+    let rejected = core.submit_within(0, IDEMPOTENT, 200_000).final_response();
+    assert!(matches!(rejected, FinalResponse::Rejected(_)), "{rejected:?}");
+    assert_eq!(core.script.written(addr(1)), written);
+}
--- a/routing/tests/handover/script.rs
+++ b/routing/tests/handover/script.rs
@@ -238,6 +238,13 @@
 
 impl Core {
     pub(crate) fn start(adjust: impl FnOnce(&mut Limits)) -> Core {
+        Core::start_with(adjust, |_| ())
+    }
+
+    pub(crate) fn start_with(
+        adjust: impl FnOnce(&mut Limits),
+        adjust_settings: impl FnOnce(&mut Settings),
+    ) -> Core {
         let script = Arc::new(Script::default());
         let seconds = Duration::from_secs;
         let mut limits = Limits::new(4096, 64 << 20, seconds(10), seconds(600), seconds(600));
@@ -261,9 +268,11 @@
         ];
         let mysql = settings::operator::read(include_str!("../../../deploy/mysql.toml")).unwrap().settings;
         let metrics = Metrics::new(&["idempotent".into(), "deduplicated".into(), "short".into()]).unwrap();
+        let mut settings = Settings { classes, min_event_interval: 1_000, ..mysql };
+        adjust_settings(&mut settings);
         let (handle, endpoints) = RouterBuilder {
             protocol: ScriptedProtocol { script: script.clone(), listener: accepting_listener() },
-            settings: Settings { classes, min_event_interval: 1_000, ..mysql },
+            settings,
             seed: 7,
             limits: Arc::new(limits),
             clock: Clock::new(),
