Refuse clients that no thread can be had for instead of closing them unread

Cause: ClientServer::start_connection dropped an accepted connection where pthread_create failed (EAGAIN), and MySQL's front did so after the login; what the client had sent with its startup was lost. Ruled out: the requests were not forwarded, and nothing is lost without the trouble threads.

A connection without a thread now waits up to 250 ms, tried every 5 ms beside the accepting of others; then its client is told 53300 (MySQL 1040), its unread bytes are read, and the close follows. The same mistake elsewhere: all 40 spawn calls outside test rigs were read.

--- a/admin/src/server.rs
+++ b/admin/src/server.rs
@@ -82,7 +82,7 @@
         let AdminServer { address, listener, poll, limits } = self;
         let stack_bytes = limits.thread_stack_bytes;
         let event_loop = EventLoop::new(listener, poll, limits, handler);
-        routing::spawn(THREAD_NAME, stack_bytes, move || event_loop.run())
+        routing::spawn_needed(THREAD_NAME, stack_bytes, move || event_loop.run())
             .map_err(|source| AdminServerError::SpawnThread { address, source })
     }
 }
--- a/admin/src/service.rs
+++ b/admin/src/service.rs
@@ -11,7 +11,7 @@
 use coordinator::Coordinator;
 use crossbeam_channel::Sender;
 use maintenance::Event;
-use routing::{Clock, EndpointsHandle, Metrics, spawn};
+use routing::{Clock, EndpointsHandle, Metrics, spawn_needed};
 use settings::Limits;
 use std::io;
 use std::path::Path;
@@ -73,7 +73,7 @@
             // their use.
             std::thread::sleep(2 * interval);
         }
-        spawn(SYNC_THREAD_NAME, limits.stack_bytes, move || {
+        spawn_needed(SYNC_THREAD_NAME, limits.stack_bytes, move || {
             loop {
                 // On an overloaded host the checks become fewer instead of queueing up.
                 std::thread::sleep(interval);
--- a/clients/src/connection.rs
+++ b/clients/src/connection.rs
@@ -9,16 +9,17 @@
 use crate::shared_state::SharedState;
 use routing::permit::CommandGate;
 use routing::reasons::CloseReason;
+use routing::socket::peek;
 use settings::Limits;
 use socket2::SockRef;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Shortest time that a read waits for a client. Even after its deadline a whole command may already lie in the
 /// socket, and is then read.
-const MIN_READ_WAIT: std::time::Duration = std::time::Duration::from_millis(1);
+const MIN_READ_WAIT: Duration = Duration::from_millis(1);
 
 /// Value of `Connection::write_shutdown_ms` while the sending side is open.
 const WRITE_OPEN: u64 = u64::MAX;
@@ -35,6 +36,10 @@
     /// Requests without a response, and whether the client has disconnected.
     pub in_flight_requests: InFlightRequests,
     opened_at: Instant,
+    /// When the system handed it over; it may have waited for room and for a thread since.
+    accepted_at: Instant,
+    /// For how long a first command may have lain unread before its thread ran, in microseconds.
+    first_command_age_us: AtomicU64,
     limits: Arc<Limits>,
     /// Commands that were read and have no response yet, and whether more are accepted.
     commands: CommandGate,
@@ -64,6 +69,7 @@
     pub(crate) fn new(
         socket: TcpStream,
         id: u64,
+        accepted_at: Instant,
         limits: Arc<Limits>,
         shared: Arc<SharedState>,
     ) -> Connection {
@@ -72,6 +78,8 @@
             id,
             in_flight_requests: InFlightRequests::default(),
             opened_at: Instant::now(),
+            accepted_at,
+            first_command_age_us: AtomicU64::new(0),
             limits,
             commands: CommandGate::default(),
             close_reason: AtomicU8::new(0),
@@ -87,6 +95,20 @@
         }
     }
 
+    /// Its thread runs. What lies in the socket by now may have been sent as soon as the connection was accepted.
+    pub(crate) fn note_thread_started(&self) {
+        let age = self.accepted_at.elapsed().as_micros() as u64;
+        if age > 0 && peek(&self.socket).is_ok_and(|bytes| bytes > 0) {
+            self.first_command_age_us.store(age, Ordering::Relaxed);
+        }
+    }
+
+    /// For how long the command that was read last may have waited unread because its connection was not served yet.
+    /// Only the first command of a connection may have; it is told once.
+    pub fn take_command_age(&self) -> Duration {
+        Duration::from_micros(self.first_command_age_us.swap(0, Ordering::Relaxed))
+    }
+
     /// Counts a command that has been read as in flight; the connection stays open until
     /// [`Connection::finish_command`]. `next_started` says whether part of the next command was read with it.
     ///
--- a/clients/src/connection/closing.rs
+++ b/clients/src/connection/closing.rs
@@ -46,6 +46,25 @@
         }
     }
 
+    /// Closes behind a rejection that was written without waiting. What the client has sent by now is discarded first:
+    /// closed over unread bytes the connection would be reset, and the rejection lost.
+    pub(crate) fn close_after_rejection(&self) {
+        self.shut_down_write();
+        let mut discarded = [0; DISCARD_BUFFER_BYTES];
+        let mut bytes_left = self.limits.client_linger_bytes;
+        if self.socket.set_nonblocking(true).is_err() {
+            return;
+        }
+        while bytes_left > 0 {
+            match (&self.socket).read(&mut discarded) {
+                Ok(0) => return,
+                Ok(n) => bytes_left = bytes_left.saturating_sub(n),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return,
+            }
+        }
+    }
+
     /// Shuts the sending side down if nothing is in flight.
     pub(super) fn shut_down_write_if_idle(&self) {
         if self.commands.permit_idle_close().is_ok() {
--- a/clients/src/listener.rs
+++ b/clients/src/listener.rs
@@ -1,9 +1,10 @@
 //! The listening socket for clients: one of this process's own, or one that the platform holds and every process of
 //! the router inherits, so that two may serve side by side.
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use socket2::{SockAddr, Socket, Type};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::fd::{FromRawFd, OwnedFd, RawFd};
+use std::os::fd::{AsFd, FromRawFd, OwnedFd, RawFd};
 use std::time::Duration;
 
 /// How long an accept on an inherited listener blocks before the caller checks whether it still accepts. Such a
@@ -92,6 +93,13 @@
         })
     }
 
+    /// Waits at most for `timeout`; whether a connection can be accepted then, as far as the system tells.
+    pub(crate) fn wait_until_ready(&self, timeout: Duration) -> bool {
+        let timeout = PollTimeout::try_from(timeout).unwrap_or(PollTimeout::ZERO);
+        let ready = poll(&mut [PollFd::new(self.listener().as_fd(), PollFlags::POLLIN)], timeout);
+        ready.is_ok_and(|count| count > 0)
+    }
+
     /// Waits for the next connection; `None` if the caller should check whether it still accepts.
     ///
     /// # Errors
--- a/clients/src/server.rs
+++ b/clients/src/server.rs
@@ -20,6 +20,9 @@
     /// Serves one client, on the thread that this is called on, until either side closes the connection.
     fn handle(self: &Arc<Self>, connection: &Arc<Connection>);
 
+    /// Tells a client that it can't be served now and may come again, without waiting for it.
+    fn reject(&self, connection: &Connection);
+
     /// The client of a request has disconnected: nobody waits for the response.
     fn client_disconnected(&self, request: RequestId);
 }
--- a/clients/src/server/accept.rs
+++ b/clients/src/server/accept.rs
@@ -4,7 +4,7 @@
 use crate::connection::Connection;
 use crate::listener::ClientListener;
 use routing::reasons::CloseReason;
-use routing::spawn;
+use routing::spawn_within;
 use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -21,20 +21,44 @@
 /// Connections that are evicted at a time. Finding one costs as much as finding several.
 const EVICTION_BATCH: usize = 8;
 
+/// How long a connection waits for a thread. Its first request may have been sent already, and its time runs.
+const THREAD_PATIENCE: Duration = Duration::from_millis(250);
+
+/// How often threads are tried for while connections wait for one.
+const THREAD_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+
+/// A connection that waits for a thread.
+struct WithoutThread {
+    connection: Arc<Connection>,
+    address: SocketAddr,
+    /// What its thread is to run.
+    serve: Box<dyn FnOnce() + Send>,
+    since: Instant,
+}
+
 impl<H: ConnectionHandler> ClientServer<H> {
     /// Accepts connections until the server stops accepting.
     pub(super) fn accept_loop(self: &Arc<Self>, listener: &ClientListener) {
         let mut last_logged: Option<Instant> = None;
+        let mut without_thread = Vec::new();
         while self.accepting.load(Ordering::Acquire) {
+            // Connections that wait for a thread are looked after in between.
+            if !without_thread.is_empty() && !listener.wait_until_ready(THREAD_RETRY_INTERVAL) {
+                self.start_waiting(&mut without_thread);
+                continue;
+            }
             match listener.accept() {
                 Ok(Some((socket, address))) => {
+                    let accepted_at = Instant::now();
                     self.wait_for_room();
-                    self.start_connection(socket, address);
+                    without_thread.extend(self.start_connection(socket, address, accepted_at));
                 }
                 Ok(None) => {}
                 Err(e) => self.handle_accept_error(&e, &mut last_logged),
             }
+            self.start_waiting(&mut without_thread);
         }
+        self.start_all(without_thread);
     }
 
     /// The process is out of descriptors, or a client disconnected before it was accepted.
@@ -72,23 +96,72 @@
         false
     }
 
-    /// Serves a connection that has been accepted, on a thread of its own.
-    pub(super) fn start_connection(self: &Arc<Self>, socket: TcpStream, address: SocketAddr) {
+    /// Serves connections that have been accepted, each on a thread of its own.
+    pub(super) fn start_connections(
+        self: &Arc<Self>,
+        accepted: impl Iterator<Item = (TcpStream, SocketAddr)>,
+    ) {
+        let accepted_at = Instant::now();
+        let start = |(socket, address)| self.start_connection(socket, address, accepted_at);
+        let without_thread = accepted.filter_map(start).collect();
+        self.start_all(without_thread);
+    }
+
+    /// Serves a connection that has been accepted, on a thread of its own; returns it if no thread can be had now.
+    fn start_connection(
+        self: &Arc<Self>,
+        socket: TcpStream,
+        address: SocketAddr,
+        accepted_at: Instant,
+    ) -> Option<WithoutThread> {
         if let Err(e) = self.configure(&socket) {
-            return tracing::warn!("clients: {address}: {e}");
+            // It was reset before it could be served.
+            tracing::warn!("clients: {address}: {e}");
+            return None;
         }
         let id = self.next_connection_id.fetch_add(1, Ordering::Relaxed) as u64;
-        let connection = Arc::new(Connection::new(socket, id, self.limits.clone(), self.shared.clone()));
+        let connection = Connection::new(socket, id, accepted_at, self.limits.clone(), self.shared.clone());
+        let connection = Arc::new(connection);
         self.connections().insert(id, connection.clone());
         self.disconnect_watcher.watch(&connection);
-        let server = self.clone();
-        let serve_client = move || server.serve_client(&connection);
-        if let Err(e) = spawn("client", self.limits.stack_bytes, serve_client) {
-            tracing::error!("clients: no thread for {address}: {e}");
-            if let Some(connection) = self.connections().remove(&id) {
-                connection.set_close_reason(CloseReason::NoThread);
-                self.note_closed(&connection);
-            }
+        let (server, own) = (self.clone(), connection.clone());
+        let serve = Box::new(move || server.serve_client(&own));
+        self.try_start(WithoutThread { connection, address, serve, since: Instant::now() })
+    }
+
+    /// Starts a connection's thread; returns the connection if none can be had now.
+    fn try_start(&self, waiting: WithoutThread) -> Option<WithoutThread> {
+        let WithoutThread { connection, address, serve, since } = waiting;
+        let started = spawn_within("client", self.limits.stack_bytes, Duration::ZERO, serve);
+        let Err(failed) = started else { return None };
+        if since.elapsed() < THREAD_PATIENCE {
+            return Some(WithoutThread { connection, address, serve: failed.run, since });
+        }
+        tracing::error!("clients: no thread for {address}: {}", failed.source);
+        self.reject(&connection);
+        None
+    }
+
+    /// Tells a client that it may come again. Closed without a word, it would lose a request that it has sent already.
+    fn reject(&self, connection: &Connection) {
+        connection.set_close_reason(CloseReason::NoThread);
+        self.connections().remove(&connection.id);
+        self.handler.reject(connection);
+        connection.close_after_rejection();
+        self.note_closed(connection);
+    }
+
+    /// Tries once to start the threads of connections that wait for one.
+    fn start_waiting(&self, without_thread: &mut Vec<WithoutThread>) {
+        let waiting = std::mem::take(without_thread);
+        without_thread.extend(waiting.into_iter().filter_map(|waiting| self.try_start(waiting)));
+    }
+
+    /// Starts the threads of connections that wait for one, and returns once none waits any more.
+    fn start_all(&self, mut without_thread: Vec<WithoutThread>) {
+        while !without_thread.is_empty() {
+            self.start_waiting(&mut without_thread);
+            std::thread::sleep(THREAD_RETRY_INTERVAL);
         }
     }
 
@@ -100,6 +173,7 @@
 
     /// Runs on the connection's thread from its start to its end.
     fn serve_client(&self, connection: &Arc<Connection>) {
+        connection.note_thread_started();
         self.handler.handle(connection);
         connection.linger();
         connection.shut_down_both();
--- a/clients/src/server/command_loop.rs
+++ b/clients/src/server/command_loop.rs
@@ -3,7 +3,7 @@
 use crate::listener::{AcceptWaker, ClientListener};
 use crate::shutdown::{Action, Event, GracefulShutdown, ShutdownTimes};
 use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
-use routing::spawn;
+use routing::spawn_needed;
 use settings::Limits;
 use std::io;
 use std::sync::Arc;
@@ -137,9 +137,7 @@
         _ = stopped.recv_timeout(ACCEPT_STOP_TIMEOUT);
         // What the kernel has accepted is served here, unless another process accepts from the same queue.
         if !self.successor {
-            for (socket, address) in listener.into_backlog() {
-                self.server.start_connection(socket, address);
-            }
+            self.server.start_connections(listener.into_backlog());
         }
     }
 }
@@ -157,7 +155,7 @@
 fn spawn_disconnect_thread<H: ConnectionHandler>(server: &Arc<ClientServer<H>>) -> io::Result<()> {
     let server = server.clone();
     let stack_bytes = server.limits.stack_bytes;
-    spawn("departures", stack_bytes, move || {
+    spawn_needed("departures", stack_bytes, move || {
         server.disconnect_watcher.run(|connection_id| server.handle_disconnect(connection_id));
     })
 }
@@ -170,7 +168,7 @@
     let server = server.clone();
     let stack_bytes = server.limits.stack_bytes;
     let (stopping, stopped) = bounded::<()>(0);
-    spawn("accept", stack_bytes, move || {
+    spawn_needed("accept", stack_bytes, move || {
         server.accept_loop(&listener);
         // The listener is closed before the thread counts as stopped.
         drop(listener);
--- a/clients/tests/connections/support.rs
+++ b/clients/tests/connections/support.rs
@@ -27,6 +27,8 @@
         (self.0)(connection);
     }
 
+    fn reject(&self, _: &Connection) {}
+
     fn client_disconnected(&self, request: RequestId) {
         panic!("{request:?}: this handler submits none");
     }
--- a/discovery/src/watch.rs
+++ b/discovery/src/watch.rs
@@ -3,7 +3,7 @@
 use crate::driver::Driver;
 use crate::shared::{Shared, lock};
 use mio::Waker;
-use routing::{EndpointsHandle, spawn};
+use routing::{EndpointsHandle, spawn_needed};
 use settings::Limits;
 use std::io;
 use std::net::SocketAddr;
@@ -44,7 +44,7 @@
     fn start_driver(&self, addr: SocketAddr) -> io::Result<Waker> {
         let (driver, waker) = Driver::new(self.shared.clone(), addr)?;
         let addresses = self.shared.address_queue.clone();
-        spawn("discovery", self.shared.limits.stack_bytes, move || driver.run(&addresses))?;
+        spawn_needed("discovery", self.shared.limits.stack_bytes, move || driver.run(&addresses))?;
         Ok(waker)
     }
 
--- a/fleet/src/client/mod.rs
+++ b/fleet/src/client/mod.rs
@@ -13,7 +13,7 @@
 use exchange::{Exchange, LeaveRequest};
 use placement::News;
 use quotas::{Admission, QuotaClient, QuotaClientSettings};
-use routing::{Clock, Time, spawn};
+use routing::{Clock, Time};
 use settings::fleet::{Member, Version};
 use shared::Shared;
 use std::io;
@@ -117,7 +117,7 @@
             Box::new(on_placement_news),
             Box::new(member_list_version),
         );
-        spawn("fleet", STACK_BYTES, move || exchange.run(&wakeups, &leave_requests))?;
+        routing::spawn_needed("fleet", STACK_BYTES, move || exchange.run(&wakeups, &leave_requests))?;
         Ok(FleetClient { shared, leave })
     }
 
--- a/fleet/src/document/seed.rs
+++ b/fleet/src/document/seed.rs
@@ -37,7 +37,7 @@
             std::thread::sleep(RETRY_INTERVAL);
         }
     };
-    routing::spawn("fleet-seed", STACK_BYTES, run)
+    routing::spawn_needed("fleet-seed", STACK_BYTES, run)
 }
 
 fn seed(client: &Client, text: &str) -> Result<Seeding, DocumentError> {
--- a/fleet/src/service/audit_recorder.rs
+++ b/fleet/src/service/audit_recorder.rs
@@ -28,7 +28,7 @@
         let (batch_sender, batches) = bounded(1);
         let (result_sender, results) = bounded(MAX_PENDING_RESULTS);
         let run = move || write_batches(&store, &batches, &result_sender);
-        routing::spawn("fleet-audit", STACK_BYTES, run)?;
+        routing::spawn_needed("fleet-audit", STACK_BYTES, run)?;
         Ok(Recorder { batches: batch_sender, results })
     }
 
--- a/fleet/src/service/mod.rs
+++ b/fleet/src/service/mod.rs
@@ -10,7 +10,7 @@
 use crate::wire::{self, MAX_PART_BYTES, Request, Response, UNKNOWN_LEADER};
 use crossbeam_channel::{Sender, bounded};
 use leader::{LeaderActor, MAX_REPORTS_PER_ROUND, PendingReport};
-use routing::{Clock, spawn};
+use routing::Clock;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
@@ -60,7 +60,7 @@
 ) -> io::Result<()> {
     let (report_sender, reports) = bounded(MAX_PENDING_REPORTS);
     let actor = LeaderActor::new(store.clone(), clock, quotas, audit)?;
-    spawn("fleet-leader", ACTOR_STACK_BYTES, move || actor.run(&reports))?;
+    routing::spawn_needed("fleet-leader", ACTOR_STACK_BYTES, move || actor.run(&reports))?;
     let reject = move |socket: &TcpStream| {
         _ = wire::send_hello(socket);
         _ = wire::send(socket, &Response::Busy { max_connections: limits.max_connections });
--- a/membership/src/handle.rs
+++ b/membership/src/handle.rs
@@ -78,7 +78,8 @@
         let published = Arc::new(Mutex::new(Published::new(local)));
         let driver = Driver::new(socket, waker_addr, machine, queue, published.clone());
         let seeds = config.seeds;
-        routing::spawn("membership", STACK_BYTES, move || driver.run(seeds)).map_err(Error::SpawnThread)?;
+        routing::spawn_needed("membership", STACK_BYTES, move || driver.run(seeds))
+            .map_err(Error::SpawnThread)?;
         Ok(Membership { name: config.name.into(), addr, commands, published, waker: Arc::new(waker) })
     }
 
--- a/membership/src/router_count_thread.rs
+++ b/membership/src/router_count_thread.rs
@@ -22,7 +22,7 @@
     let local_name = membership.name().to_string();
     let changes = membership.subscribe()?;
     let run = move || run(&changes, &local_name, settings, set_count);
-    routing::spawn("members", STACK_BYTES, run).map_err(Error::SpawnThread)
+    routing::spawn_needed("members", STACK_BYTES, run).map_err(Error::SpawnThread)
 }
 
 /// Runs until this router has left, or no more changes come.
--- a/mysql/src/front.rs
+++ b/mysql/src/front.rs
@@ -9,8 +9,9 @@
 use crate::statement::{Need, Scan, need, scan};
 use crate::{Tap, command};
 use clients::{Connection, ConnectionHandler, is_timeout};
-use crossbeam_channel::{Receiver, bounded};
-use routing::{ClientRequest, FinalResponse, GroupId, RequestId, RouterHandle, Time, spawn};
+use crossbeam_channel::{Receiver, Sender, bounded};
+use routing::reasons::CloseReason;
+use routing::{ClientRequest, FinalResponse, GroupId, RequestId, RouterHandle, Time, spawn_within};
 use sessions::Key;
 use sessions::machine::Stopped;
 use sessions::node::{Sessions, Who};
@@ -19,6 +20,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+/// How long a thread for a client's commands is waited for.
+const THREAD_PATIENCE: Duration = Duration::from_millis(800);
 
 /// What all connections of the front share.
 pub struct Front {
@@ -84,22 +89,95 @@
             statements: HashMap::new(),
             next: 0,
         };
+        // The thread that reads commands is had before the client is let in: what it sends after that is owed an answer.
+        let Some(command_reader) = self.start_command_reader(connection) else { return };
         let mut reader = Reader::new(self.limits.message_bytes);
         if client.greet(&mut reader).is_ok() {
             // Who has proved a password comes to ask.
             connection.record_request();
-            client.serve(reader, connection.clone());
+            client.serve(reader, command_reader);
         }
         if let Some(tap) = &self.tap {
             tap.ended(connection.id);
         }
     }
 
+    fn reject(&self, connection: &Connection) {
+        let mut bytes = Vec::new();
+        push(&mut bytes, 0, &errors::payload(errors::REFUSED, "refused: no thread is to be had"));
+        // A client that has left already needs no answer.
+        _ = write_ready(&connection.socket, &bytes);
+    }
+
     fn client_disconnected(&self, request: RequestId) {
         self.handle.client_disconnected(request);
     }
 }
 
+/// The thread that reads a client's commands, which waits for the login.
+struct CommandReader {
+    /// Gets what has been read ahead by the end of the login.
+    start: Sender<Reader>,
+    /// Gives the commands, and at last why there are no more.
+    commands: Receiver<Result<Packet, Broken>>,
+}
+
+impl Front {
+    /// Starts the thread that reads commands; `None` where none was to be had, which the client is told.
+    fn start_command_reader(&self, connection: &Arc<Connection>) -> Option<CommandReader> {
+        let (to, commands) = bounded(self.limits.pipelined);
+        let (start, reader) = bounded::<Reader>(1);
+        let (handle, own) = (self.handle.clone(), connection.clone());
+        let read = move || {
+            if let Ok(reader) = reader.recv() {
+                read_commands(&own, reader, &to, |id| handle.client_disconnected(id));
+            }
+        };
+        let started = spawn_within("commands", self.limits.stack_bytes, THREAD_PATIENCE, read);
+        if started.is_err() {
+            connection.set_close_reason(CloseReason::NoThread);
+            self.reject(connection);
+            return None;
+        }
+        Some(CommandReader { start, commands })
+    }
+}
+
+/// Reads commands until the client or this side ends the connection.
+fn read_commands(
+    connection: &Connection,
+    mut reader: Reader,
+    to: &Sender<Result<Packet, Broken>>,
+    cancel: impl Fn(RequestId),
+) {
+    loop {
+        let next = reader.next(connection.command_reader(!reader.is_empty()));
+        if matches!(next, Err(Broken::Silent)) && !connection.close_if_idle_timed_out() {
+            continue;
+        }
+        let end = next.is_err();
+        if end {
+            // Whoever is gone needs no answer; one that broke the protocol hears of it in its turn, and one
+            // that stopped within a command gets what it is owed. Of one that is let go it is this side that
+            // reads no more: what was read is answered, and where it has left, too, whoever watches its
+            // socket says so.
+            let gone = match &next {
+                Err(Broken::Ended) => true,
+                Err(Broken::Failed(e)) => !is_timeout(e),
+                _ => false,
+            };
+            if gone && !connection.reading_stopped() {
+                connection.mark_disconnected(&cancel);
+            }
+        } else if !connection.begin_command(!reader.is_empty()) {
+            return;
+        }
+        if to.send(next).is_err() || end {
+            return;
+        }
+    }
+}
+
 impl Client<'_> {
     fn tapped(&self, from_client: bool, bytes: &[u8]) {
         if let Some(tap) = &self.front.tap {
@@ -195,38 +273,9 @@
         self.write(last, &[OK.to_vec()])
     }
 
-    fn serve(&mut self, mut reader: Reader, connection: Arc<Connection>) {
-        let (to, commands) = bounded(self.front.limits.pipelined);
-        let handle = self.front.handle.clone();
-        let read = move || {
-            loop {
-                let next = reader.next(connection.command_reader(!reader.is_empty()));
-                if matches!(next, Err(Broken::Silent)) && !connection.close_if_idle_timed_out() {
-                    continue;
-                }
-                let end = next.is_err();
-                if end {
-                    // Whoever is gone needs no answer; one that broke the protocol hears of it in its turn, and one
-                    // that stopped within a command gets what it is owed. Of one that is let go it is this side that
-                    // reads no more: what was read is answered, and where it has left, too, whoever watches its
-                    // socket says so.
-                    let gone = match &next {
-                        Err(Broken::Ended) => true,
-                        Err(Broken::Failed(e)) => !is_timeout(e),
-                        _ => false,
-                    };
-                    if gone && !connection.reading_stopped() {
-                        connection.mark_disconnected(|id| handle.client_disconnected(id));
-                    }
-                } else if !connection.begin_command(!reader.is_empty()) {
-                    return;
-                }
-                if to.send(next).is_err() || end {
-                    return;
-                }
-            }
-        };
-        if spawn("commands", self.front.limits.stack_bytes, read).is_err() {
+    fn serve(&mut self, reader: Reader, command_reader: CommandReader) {
+        let CommandReader { start, commands } = command_reader;
+        if start.send(reader).is_err() {
             return;
         }
         self.work(&commands);
--- a/mysql/src/watch.rs
+++ b/mysql/src/watch.rs
@@ -1,8 +1,8 @@
 //! Asks the servers for their clocks, at the start and now and then: sessions have to know how far these are from the
 //! router's also while no request makes the module probe.
 use crate::link::Mysql;
+use routing::Outcome;
 use routing::protocol::{AttemptGuard, BackendProtocol, Connection, Exchange};
-use routing::{Outcome, spawn};
 use settings::Limits;
 use std::io;
 use std::net::SocketAddr;
@@ -14,7 +14,7 @@
     limits: &Limits,
 ) -> io::Result<()> {
     let (pause, retry) = (limits.clock_pause, limits.clock_retry);
-    spawn("clocks", limits.stack_bytes, move || {
+    routing::spawn_needed("clocks", limits.stack_bytes, move || {
         loop {
             // A server that can't be asked leaves the others' clocks, and is asked again soon.
             let servers = servers();
--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -121,6 +121,10 @@
             Ok(None) => return,
             Err(e) => return self.hang_up(socket, &e),
         };
+        if buffer.is_empty() {
+            // No request came along with the startup: it is sent only now.
+            connection.take_command_age();
+        }
         let (mut skip_to_sync, mut writer) = (false, None::<Writer>);
         let end = loop {
             let frame = match buffer.next(connection.command_reader(!buffer.is_empty())) {
@@ -206,6 +210,19 @@
         }
     }
 
+    fn reject(&self, connection: &Connection) {
+        let mut text = Vec::new();
+        push_error(
+            &mut text,
+            "FATAL",
+            "53300",
+            "refused: no thread is to be had; trying again is harmless",
+            None,
+        );
+        // A client that has left already needs no answer.
+        _ = write_gathered(&connection.socket, &[&text]);
+    }
+
     fn client_disconnected(&self, request: RequestId) {
         self.handle.client_disconnected(request);
     }
@@ -399,14 +416,15 @@
         });
         let (answer, given) = bounded(1);
         let wall_clock = &self.handle.wall_clock;
+        let age = opened.connection.take_command_age().as_micros() as i64;
         let incoming = ClientRequest {
             connection: opened.connection.id,
             class,
             tenant: None,
             session,
             group: GroupId(statement.group),
-            // Nobody waits longer than the class does, whatever is said.
-            deadline: Time(now.0 + micros(statement.wait_ms).min(longest)),
+            // Nobody waits longer than the class does, whatever is said. The client's time runs from when it sent this.
+            deadline: Time(now.0 + micros(statement.wait_ms).min(longest) - age),
             session_commit: statement.after_ms.map(|ms| wall_clock.commit(Time(ms.saturating_mul(1000)))),
             payload: statement,
             response_sender: answer,
--- a/registry/src/client.rs
+++ b/registry/src/client.rs
@@ -18,7 +18,7 @@
 use crate::machine::{Machine, Settings as MachineSettings};
 use endpoint_list::ListState;
 use list_file::SavedList;
-use routing::{Clock, EndpointsHandle, RespondedEndpoints, spawn};
+use routing::{Clock, EndpointsHandle, RespondedEndpoints};
 use serde::{Deserialize, Serialize};
 use settings::Limits;
 use settings::operator::Registry as Settings;
@@ -108,10 +108,11 @@
         });
         client.load_list(&mut machine);
         let follower = client.clone();
-        spawn("registry", limits.module_stack_bytes, move || follower.follow(machine))
+        routing::spawn_needed("registry", limits.module_stack_bytes, move || follower.follow(machine))
             .map_err(Error::Thread)?;
         let timer = client.clone();
-        spawn("registry-time", limits.stack_bytes, move || timer.run_timer()).map_err(Error::Thread)?;
+        routing::spawn_needed("registry-time", limits.stack_bytes, move || timer.run_timer())
+            .map_err(Error::Thread)?;
         Ok(client)
     }
 
--- a/registry/src/client/registration.rs
+++ b/registry/src/client/registration.rs
@@ -1,7 +1,6 @@
 //! Keeps this router's entry in the registry, under a lease.
 use super::{Client, MemberClient, Router, lock};
 use crate::{Error, RequestError};
-use routing::spawn;
 use serde_json::json;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -20,7 +19,8 @@
         let Some(name) = self.settings.register.clone() else { return Ok(()) };
         let client = self.clone();
         let stack = self.limits.module_stack_bytes;
-        spawn("registry-lease", stack, move || client.stay_registered(&name, &router)).map_err(Error::Thread)
+        routing::spawn_needed("registry-lease", stack, move || client.stay_registered(&name, &router))
+            .map_err(Error::Thread)
     }
 
     fn stay_registered(&self, name: &str, router: &Router) {
--- a/routing/src/endpoints.rs
+++ b/routing/src/endpoints.rs
@@ -6,7 +6,7 @@
 use crate::messages::RouterMessage;
 use crate::metrics::Metrics;
 use crate::protocol::BackendProtocol;
-use crate::spawn;
+use crate::spawn_needed;
 use crate::wall_clock::WallClock;
 use actor::EndpointsActor;
 use crossbeam_channel::{Sender, bounded};
@@ -108,6 +108,6 @@
     let handle = EndpointsHandle { sender, published: Published::default() };
     let published = handle.published.clone();
     let actor = EndpointsActor::new(router, published, metrics, wall_clock);
-    spawn("list", limits.stack_bytes, move || actor.run(&mailbox))?;
+    spawn_needed("list", limits.stack_bytes, move || actor.run(&mailbox))?;
     Ok(handle)
 }
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -34,6 +34,7 @@
 mod responded_endpoints;
 mod router;
 pub mod socket;
+pub mod threads;
 pub mod wall_clock;
 
 #[cfg(test)]
@@ -52,12 +53,5 @@
 pub use request::{AttemptId, ClientRequest, FinalResponse};
 pub use responded_endpoints::RespondedEndpoints;
 pub use router::{RouterBuilder, RouterHandle};
+pub use threads::{NoThread, spawn, spawn_needed, spawn_within};
 pub use wall_clock::WallClock;
-
-/// Starts a named thread with a stack of `stack_bytes`.
-///
-/// # Errors
-/// The system gives no more threads or memory; raise the limit of processes of the user that the router runs as.
-pub fn spawn(name: &str, stack_bytes: usize, run: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
-    std::thread::Builder::new().name(name.to_string()).stack_size(stack_bytes).spawn(run).map(|_| ())
-}
--- a/routing/src/router.rs
+++ b/routing/src/router.rs
@@ -22,7 +22,7 @@
 use crate::placement_subsets::PlacementSubsets;
 use crate::protocol::BackendProtocol;
 use crate::responded_endpoints::RespondedEndpoints;
-use crate::spawn;
+use crate::spawn_needed;
 use crate::wall_clock::WallClock;
 use actor::RouterActor;
 use crossbeam_channel::bounded;
@@ -75,7 +75,7 @@
         actor.subsets = subsets;
         actor.responded = self.responded;
         actor.metrics = self.metrics;
-        spawn("module", stack_bytes, move || actor.run(&mailbox))?;
+        spawn_needed("module", stack_bytes, move || actor.run(&mailbox))?;
         Ok((handle, endpoints))
     }
 }
--- a/sessions/src/node/start.rs
+++ b/sessions/src/node/start.rs
@@ -5,7 +5,7 @@
 use crate::journal::{self, Found, Journal, Whole};
 use crate::machine::{Machine, Settings as MachineSettings};
 use crossbeam_channel::{Sender, bounded};
-use routing::{Clock, spawn};
+use routing::Clock;
 use settings::Limits;
 use settings::operator::Sessions as Settings;
 use std::collections::BTreeMap;
@@ -95,13 +95,15 @@
         if let Some(journal) = journal {
             let own = sessions.clone();
             let run = move || own.run_journal(journal, &woken);
-            spawn("journal", limits.module_stack_bytes, run).map_err(Error::Thread)?;
+            routing::spawn_needed("journal", limits.module_stack_bytes, run).map_err(Error::Thread)?;
         }
         sessions.list(settings.peers.clone());
         let own = sessions.clone();
-        spawn("sessions", limits.stack_bytes, move || own.accept_all(&listener)).map_err(Error::Thread)?;
+        routing::spawn_needed("sessions", limits.stack_bytes, move || own.accept_all(&listener))
+            .map_err(Error::Thread)?;
         let own = sessions.clone();
-        spawn("leases", limits.stack_bytes, move || own.run_ticks()).map_err(Error::Thread)?;
+        routing::spawn_needed("leases", limits.stack_bytes, move || own.run_ticks())
+            .map_err(Error::Thread)?;
         tracing::info!("sessions: instance {} takes peers on {addr}", settings.instance);
         Ok(sessions)
     }
--- a/src/commands/serve/shutdown.rs
+++ b/src/commands/serve/shutdown.rs
@@ -20,7 +20,7 @@
         }
         client.stop();
     };
-    routing::spawn("leaving", stack_bytes, forward)
+    routing::spawn_needed("leaving", stack_bytes, forward)
         .map_err(|source| Error::Thread { what: "leaving", source })?;
     Ok(forwarded_orders)
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -51,3 +51,8 @@
 fn clients_that_come_while_no_thread_can_be_had_are_not_lost() {
     assert_keeps("regressions/no_thread_for_a_client.toml", 1, Promise::Lost);
 }
+
+#[test]
+fn requests_whose_clients_are_looked_at_under_interrupts_are_not_lost() {
+    assert_keeps("regressions/interrupted_looks.toml", 1, Promise::Lost);
+}
