Go on with the store once its disk does, and mend what the soak's world got wrong

Now the node waits, and writes a whole new log file from what it holds, every 0.5 s until that is synced; a file whose sync has failed is not relied on again. Nothing is promised meanwhile.

--- a/soak/src/oracle/limits.rs
+++ b/soak/src/oracle/limits.rs
@@ -1,11 +1,15 @@
 //! Oracles on processes: ends, starts, what they use, and what they count themselves.
 use super::{Breach, Promise, seconds};
-use crate::history::{History, Micros, SECOND};
+use crate::history::{Absence, History, Micros, SECOND};
 use crate::platform::{MEMORY_MB, SOCKETS};
 use std::collections::HashMap;
 
 /// Most threads of one process: a thread for each descriptor, and a few for the process itself.
 const MAX_THREADS: usize = SOCKETS + 32;
+/// Invariants that a stopped process violates without a fault of its own.
+const NEED_SCHEDULING: [&str; 3] = ["response_in_time", "request_forgotten", "repeat_window"];
+/// A router has to bear being held up for so long.
+const HELD_UP: Micros = 300_000;
 /// A process that uses this share of a core
 const SPIN_SHARE: f64 = 0.95;
 /// for so long spins.
@@ -17,7 +21,17 @@
     let start = |text: &String| breach(Promise::Start, text.clone());
     let mut breaches: Vec<Breach> = history.crashes.iter().map(crash).collect();
     breaches.extend(history.failed_starts.iter().map(start));
+    let was_paused = |router: usize| {
+        history
+            .absent
+            .iter()
+            .any(|a| a.router == router && a.why == Absence::Paused && a.to - a.from > HELD_UP)
+    };
     for (router, name, count) in &history.invariant_violations {
+        // A process that was stopped for long has answered nothing meanwhile: the other oracles allow for it.
+        if NEED_SCHEDULING.contains(&name.as_str()) && was_paused(*router) {
+            continue;
+        }
         breaches.push(breach(Promise::Invariant, format!("router {router} counts {name} {count} times")));
     }
     for sample in &history.samples {
--- a/soak/src/platform.rs
+++ b/soak/src/platform.rs
@@ -92,12 +92,14 @@
     Ok(run.finish())
 }
 
-/// An address that nobody else listens on: on a loopback address of this run's own, so that it stays free until the router
-/// binds it, whatever ports outgoing connections take meanwhile.
-fn free_address() -> io::Result<SocketAddr> {
+/// Addresses that nobody else listens on: on a loopback address of this run's own, so that they stay free until the routers
+/// bind them, whatever ports outgoing connections take meanwhile. All are held until the last one is known.
+fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
     let id = std::process::id();
     let ip = [127, 1 + (id / 250 % 250) as u8, (id % 250) as u8, 9];
-    TcpListener::bind(SocketAddr::from((ip, 0)))?.local_addr()
+    let bind = |_| TcpListener::bind(SocketAddr::from((ip, 0)));
+    let held = (0..count).map(bind).collect::<io::Result<Vec<_>>>()?;
+    held.iter().map(TcpListener::local_addr).collect()
 }
 
 impl<'a> Run<'a> {
@@ -114,11 +116,12 @@
             agents.change(Entry { server, id, group, state: "in_service", primary, started_ms: 0 });
         }
         let mut routers = Vec::new();
+        let addresses = free_addresses(2 * plan.routers)?;
         for router in 0..plan.routers {
             let (control_path, control) = control_file(folder.path(), &format!("n{router}"))?;
             routers.push(Router {
-                listen: free_address()?,
-                admin: free_address()?,
+                listen: addresses[2 * router],
+                admin: addresses[2 * router + 1],
                 config: folder.path().join(format!("n{router}.json")),
                 control,
                 control_path,
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -23,6 +23,8 @@
     addr: SocketAddr,
     read_only: bool,
     lag: Micros,
+    /// What it had applied when its lag was changed.
+    applied_before: Micros,
     /// It applies nothing that was committed later.
     stopped_at: Option<Micros>,
     /// It answers nothing but probes,
@@ -43,7 +45,7 @@
 impl Server {
     /// It has applied what was committed up to here.
     fn applied(&self, at: Micros) -> Micros {
-        (at - self.lag).min(self.stopped_at.unwrap_or(at))
+        (at - self.lag).max(self.applied_before).min(self.stopped_at.unwrap_or(at))
     }
 }
 
@@ -102,6 +104,7 @@
             addr,
             read_only,
             lag: lag.as_micros() as Micros,
+            applied_before: 0,
             stopped_at: None,
             hung: false,
             silent: false,
@@ -138,7 +141,11 @@
 
     /// Sets how far a replica lags.
     pub fn lag(&self, server: usize, lag: Duration) {
-        self.change(server, |s| s.lag = lag.as_micros() as Micros);
+        self.change(server, |s| {
+            // What is applied is never undone, however far behind it is from now on.
+            s.applied_before = s.applied(now());
+            s.lag = lag.as_micros() as Micros;
+        });
     }
 
     /// Stops replication at all replicas: they show what was committed by now and nothing else.
--- a/store/src/node/ready.rs
+++ b/store/src/node/ready.rs
@@ -10,7 +10,10 @@
 use raft::eraftpb::{Entry, EntryType, HardState, Message, Snapshot};
 use raft::{ReadState, Ready, Storage};
 use std::io;
+use std::time::Duration;
 
+/// How long after a failure the disk is tried again.
+const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// Applied log entries after which a snapshot replaces them.
 const SNAPSHOT_THRESHOLD: u64 = 1000;
 
@@ -59,10 +62,7 @@
         if let Some(hard_state) = hard_state {
             self.storage.log.wl().set_hardstate(hard_state.clone());
         }
-        if let Some(log_file) = &mut self.log_file {
-            log_file.append(entries, hard_state)?;
-        }
-        Ok(())
+        self.append_to_log_file(entries, hard_state)
     }
 
     fn store_commit_index(&mut self, commit_index: u64) -> Result<(), Error> {
@@ -71,10 +71,28 @@
             core.mut_hard_state().set_commit(commit_index);
             core.hard_state().clone()
         };
-        if let Some(log_file) = &mut self.log_file {
-            log_file.append(&[], Some(&hard_state))?;
-        }
-        Ok(())
+        self.append_to_log_file(&[], Some(&hard_state))
+    }
+
+    /// Appends to the log file what the log in memory has already.
+    fn append_to_log_file(&mut self, entries: &[Entry], hard_state: Option<&HardState>) -> Result<(), Error> {
+        let Some(log_file) = &mut self.log_file else { return Ok(()) };
+        let Err(error) = log_file.append(entries, hard_state) else { return Ok(()) };
+        // What the file contains now is not known, and a sync that is repeated may say that all is well: only another file
+        // can be relied on. Until it is there, nothing is sent that would promise something.
+        self.report_disk_failure(&error);
+        let applied_index = self.storage.shared.machine().state().applied_index;
+        let snapshot = self.storage.take_snapshot().map_err(io::Error::other)?;
+        let entries = self.storage.entries_after(applied_index).map_err(io::Error::other)?;
+        std::thread::sleep(DISK_RETRY_INTERVAL);
+        self.rewrite_log_file(&snapshot, &entries)
+    }
+
+    fn report_disk_failure(&self, error: &io::Error) {
+        tracing::error!(
+            "store: the log can't be stored: {error}; this node takes part in nothing until it can"
+        );
+        self.storage.shared.clear_leader();
     }
 
     /// Replaces the state by the leader's snapshot.
@@ -93,12 +111,24 @@
         Ok(())
     }
 
+    /// Replaces the log file. Where the disk refuses that it is tried again until it succeeds: a disk that is full or fails
+    /// for a while must not cost the store a node for good.
     fn rewrite_log_file(&mut self, snapshot: &Snapshot, entries: &[Entry]) -> Result<(), Error> {
-        if let Some(log_file) = &mut self.log_file {
-            let hard_state = self.storage.log.wl().hard_state().clone();
-            log_file.rewrite(snapshot, entries, &hard_state)?;
+        let hard_state = self.storage.log.wl().hard_state().clone();
+        let mut failed = false;
+        loop {
+            let Some(log_file) = &mut self.log_file else { return Ok(()) };
+            match log_file.rewrite(snapshot, entries, &hard_state) {
+                Ok(()) if failed => {
+                    tracing::info!("store: the log is stored again");
+                    return Ok(());
+                }
+                Ok(()) => return Ok(()),
+                Err(error) if !std::mem::replace(&mut failed, true) => self.report_disk_failure(&error),
+                Err(_) => {}
+            }
+            std::thread::sleep(DISK_RETRY_INTERVAL);
         }
-        Ok(())
     }
 
     fn apply_entries(&mut self, entries: Vec<Entry>) -> Result<(), Error> {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -56,3 +56,8 @@
 fn requests_whose_clients_are_looked_at_under_interrupts_are_not_lost() {
     assert_keeps("regressions/interrupted_looks.toml", 1, Promise::Lost);
 }
+
+#[test]
+fn store_goes_on_after_the_disks_of_two_nodes_failed_for_a_while() {
+    assert_keeps("regressions/store_disk_fails_for_a_while.toml", 1, Promise::StoreLost);
+}
