--- a/lab/tests/tool.rs
+++ b/lab/tests/tool.rs
@@ -138,3 +138,36 @@
         );
     }
 }
+
+#[test]
+fn life_prints_the_lines_of_one_request_and_the_end_of_its_connection() {
+    let folder = tempfile::tempdir().unwrap();
+    let log = place(&folder, "router.log");
+    let own = [
+        "T DEBUG request taken request=12 connection=3 class=0 deadline=9",
+        "T DEBUG request named request=12 connection=3 id=9b1f",
+        "T DEBUG attempt handed over request=12 attempt=0 connection=3 endpoint=\"a\" until=9",
+        "T DEBUG request ended request=12 connection=3 ending=\"served\" reason=\"none\"",
+        "T DEBUG client connection closed connection=3 reason=\"idle_timeout\"",
+    ];
+    let others =
+        ["T DEBUG request taken request=1 connection=2", "T DEBUG client connection closed connection=2"];
+    std::fs::write(&log, [others[0], own[0], own[1], own[2], others[1], own[3], own[4]].join("\n")).unwrap();
+    for asked in [["--request", "12"], ["--id", "9b1f"]] {
+        let (code, text) = lab(&["life", &log, asked[0], asked[1]]);
+        assert_eq!((code, text.lines().collect::<Vec<_>>()), (Some(0), own.to_vec()));
+    }
+    let (code, text) = lab(&["life", &log, "--request", "2"]);
+    assert!(code == Some(1) && text.contains("no such request"), "{text}");
+}
+
+#[test]
+fn soak_names_what_is_wrong_with_a_plan() {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = place(&folder, "plan.toml");
+    std::fs::write(&plan, "routers = 41\n").unwrap();
+    let (code, text) = lab(&["soak", &plan]);
+    assert!(code == Some(1) && text.contains("expected 1 to 40 routers"), "{text}");
+    let (code, text) = lab(&["soak", &plan, "--only", "earthquake"]);
+    assert!(code == Some(2) && text.contains("there is no trouble 'earthquake'"), "{text}");
+}
--- a/routing/tests/metrics.rs
+++ b/routing/tests/metrics.rs
@@ -63,3 +63,21 @@
     metrics.requests_in_progress.set(1);
     assert_eq!(metrics.render_text(), include_str!("fixtures/metrics_one_class.txt"));
 }
+
+#[test]
+fn every_reason_has_its_line_from_the_start() {
+    let metrics = Metrics::new(&["order".into()]).unwrap();
+    metrics.classes[0].served.inc_by(3);
+    metrics.reasons.denied.with_label_values(&["client_left"]).inc();
+    let text = metrics.render_prometheus().unwrap();
+    for line in [
+        "answered{class=\"order\"} 3",
+        "damsonvale_denied_total{reason=\"client_left\"} 1",
+        "damsonvale_denied_total{reason=\"unsafe_repeat\"} 0",
+        "damsonvale_closed_total{reason=\"no_thread\"} 0",
+        "damsonvale_invariant_violations_total{invariant=\"drain\"} 0",
+        "damsonvale_retried_total{reason=\"reset\"} 0",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line} in {text}");
+    }
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -61,3 +61,15 @@
 fn store_goes_on_after_the_disks_of_two_nodes_failed_for_a_while() {
     assert_keeps("regressions/store_disk_fails_for_a_while.toml", 1, Promise::StoreLost);
 }
+
+#[test]
+fn short_form_of_the_platform_keeps_every_promise() {
+    for seed in [11, 12] {
+        assert_eq!(play(&plan("short_platform.toml"), seed), []);
+    }
+}
+
+#[test]
+fn short_form_of_serve_keeps_every_promise() {
+    assert_eq!(play(&plan("short_serve.toml"), 31), []);
+}
