Refuse a damaged store log instead of cutting confirmed entries off

A crash leaves no complete record behind an incomplete one. Change: opening such a log is an error that names both places, and the file stays as it is. The soak's oracle excused every request on a connection whose router had been told to end and had ended: only those count as excused now that came after the time which the router still serves.

--- a/soak/src/oracle/requests.rs
+++ b/soak/src/oracle/requests.rs
@@ -80,11 +80,7 @@
             }
         }
         Ending::Closed => {
-            let from = history.absent.iter().filter(|a| a.router == router && a.why != Absence::Paused);
-            // A connection of a process that is no more was never taken from by the one there is now.
-            let process_gone =
-                from.into_iter().any(|a| request.opened_at <= a.from && a.to <= ended_at + SLACK);
-            if killed(ended_at + SLACK) || process_gone {
+            if killed(ended_at + SLACK) || process_gone(history, request) {
                 return;
             }
             let reached = arrivals.iter().any(|arrival| arrival.first_byte_at <= ended_at);
@@ -115,6 +111,19 @@
     }
 }
 
+/// Whether the request came to a connection whose process is no more: killed, or ended after it had served its clients for the
+/// time it owes them. The process there is now never took that connection.
+fn process_gone(history: &History, request: &Request) -> bool {
+    let of_router = history.absent.iter().filter(|absent| absent.router == request.router);
+    let mut gone =
+        of_router.filter(|absent| request.opened_at <= absent.from && absent.to <= request.ended_at + SLACK);
+    gone.any(|absent| match absent.why {
+        Absence::Killed => true,
+        Absence::Ended => request.sent_at > absent.from + SERVED_AFTER_TERM - SLACK,
+        Absence::Paused => false,
+    })
+}
+
 /// When the router was told to end, where it is ending at this moment.
 fn ending_since(history: &History, router: usize, at: Micros) -> Option<Micros> {
     let ended = history.absent.iter().filter(|a| a.router == router && a.why == Absence::Ended);
--- a/soak/tests/oracle.rs
+++ b/soak/tests/oracle.rs
@@ -86,6 +86,12 @@
         h.absent.push(absent(Absence::Ended, 9 * SECOND, 12 * SECOND));
     };
     assert_eq!(broken(ending), []);
+    // But early in it they are served as before, also where the process ends with the connection.
+    let cut = |h: &mut History| {
+        closed(h);
+        h.absent.push(absent(Absence::Ended, 10 * SECOND - 100_000, 10 * SECOND + 60_000));
+    };
+    assert_eq!(broken(cut), [Promise::Lost]);
 }
 
 #[test]
--- a/store/src/log_file.rs
+++ b/store/src/log_file.rs
@@ -2,7 +2,8 @@
 //! on them.
 //!
 //! A record is the length of kind and body (four bytes, little-endian), the CRC-32 of both (likewise), the kind (one
-//! byte) and the body, a protobuf message of the `raft` library. A tail that a crash has left incomplete is cut off.
+//! byte) and the body, a protobuf message of the `raft` library. A tail that a crash has left incomplete is cut off; a crash
+//! leaves no complete record behind an incomplete one, so that damage before such a record is an error.
 use protobuf::Message;
 use raft::eraftpb::{Entry, HardState, Snapshot};
 use std::fs::{File, OpenOptions};
@@ -22,6 +23,23 @@
 /// Bytes of the length and the checksum.
 const HEADER_BYTES: usize = 8;
 
+/// Why a log file is not read: its records were confirmed, and none of them may be dropped.
+#[derive(Debug, thiserror::Error)]
+enum LogDamage {
+    #[error(
+        "the log is damaged at byte {damaged_at}, and a record that was confirmed later begins at byte {record_at}"
+    )]
+    BeforeRecord { damaged_at: usize, record_at: usize },
+    #[error("the record at byte {at} of the log is of an unknown kind, {kind}")]
+    UnknownKind { at: usize, kind: u8 },
+}
+
+impl From<LogDamage> for io::Error {
+    fn from(damage: LogDamage) -> io::Error {
+        io::Error::new(io::ErrorKind::InvalidData, damage)
+    }
+}
+
 /// What a log file contains.
 #[derive(Default)]
 pub struct LogContents {
@@ -45,11 +63,14 @@
                 HARD_STATE => contents.hard_state = parse(body)?,
                 ENTRY => contents.push_entry(parse(body)?),
                 SNAPSHOT => contents.set_snapshot(parse(body)?),
-                _ => break,
+                _ => return Err(LogDamage::UnknownKind { at: complete, kind }.into()),
             }
             complete += HEADER_BYTES + 1 + body.len();
         }
-        Ok((contents, complete))
+        match next_record(bytes, complete) {
+            Some(record_at) => Err(LogDamage::BeforeRecord { damaged_at: complete, record_at }.into()),
+            None => Ok((contents, complete)),
+        }
     }
 
     /// A new leader's entry replaces the one at its index and all after that.
@@ -76,6 +97,13 @@
     kind_and_body.split_first().map(|(kind, body)| (*kind, body))
 }
 
+/// Where the first complete record of a known kind behind a place begins.
+fn next_record(bytes: &[u8], after: usize) -> Option<usize> {
+    let of_known_kind = |&at: &usize| matches!(bytes[at + HEADER_BYTES], HARD_STATE | ENTRY | SNAPSHOT);
+    let mut candidates = (after + 1..bytes.len().saturating_sub(HEADER_BYTES)).filter(of_known_kind);
+    candidates.find(|&at| complete_record(&bytes[at..]).is_some())
+}
+
 fn little_endian(bytes: &[u8]) -> u32 {
     bytes.iter().rev().fold(0, |number, byte| number << 8 | u32::from(*byte))
 }
@@ -106,7 +134,7 @@
     /// Opens the log file in a folder; both are created where they are missing.
     ///
     /// # Errors
-    /// Where the file can't be created, read or synced, or a complete record can't be parsed.
+    /// Where the file can't be created, read or synced, a complete record can't be parsed, or the file is damaged before one.
     pub fn open(folder: &Path) -> io::Result<(LogFile, LogContents)> {
         std::fs::create_dir_all(folder)?;
         let path = folder.join(FILE_NAME);
--- a/store/tests/recorded/log_forms.rs
+++ b/store/tests/recorded/log_forms.rs
@@ -94,6 +94,48 @@
     }
 }
 
+#[test]
+fn damage_before_a_confirmed_record_is_an_error_and_the_file_stays() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("log");
+    let recorded = unhex(&fixture("log_appended.hex"));
+    let (_, last_record) = record_bounds(&recorded).pop().unwrap();
+    for (first, end) in record_bounds(&recorded) {
+        // One byte of a body; the length of a record; a record of a kind that a later version writes.
+        let mut in_body = recorded.clone();
+        in_body[end - 1] ^= 1;
+        let mut in_length = recorded.clone();
+        in_length[first + 1] ^= 0xff;
+        let mut unknown_kind = recorded.clone();
+        unknown_kind[first + 8] = 9;
+        let checksum = crc32fast::hash(&unknown_kind[first + 8..end]);
+        unknown_kind[first + 4..first + 8].copy_from_slice(&checksum.to_le_bytes());
+        for (damaged, refused) in
+            [(in_body, end != last_record), (in_length, end != last_record), (unknown_kind, true)]
+        {
+            std::fs::write(&path, &damaged).unwrap();
+            let opened = LogFile::open(folder.path());
+            assert_eq!(opened.is_err(), refused, "record {first}..{end}");
+            if let Err(error) = opened {
+                assert_eq!(error.kind(), std::io::ErrorKind::InvalidData);
+                assert_eq!(std::fs::read(&path).unwrap(), damaged, "nothing is cut off");
+            }
+        }
+    }
+}
+
+/// Where the records of a log begin and end.
+fn record_bounds(log: &[u8]) -> Vec<(usize, usize)> {
+    let mut bounds = Vec::new();
+    let mut at = 0;
+    while at < log.len() {
+        let length = u32::from_le_bytes(log[at..at + 4].try_into().unwrap()) as usize;
+        bounds.push((at, at + 8 + length));
+        at += 8 + length;
+    }
+    bounds
+}
+
 #[test]
 fn log_file_of_a_new_store_has_the_recorded_entries() {
     let folder = tempfile::tempdir().unwrap();
