--- a/soak/src/platform.rs
+++ b/soak/src/platform.rs
@@ -169,15 +169,23 @@
         Ok(())
     }
 
+    /// Which routers are not ready, and what each said last.
+    fn not_ready(&self) -> String {
+        let late = self.routers.iter().enumerate().filter(|(_, router)| router.phase != Phase::Running);
+        let said = late.map(|(index, router)| {
+            let lines = router.process.as_ref().map(|process| process.last_lines(3)).unwrap_or_default();
+            format!("router {index} at {}: {lines}", router.listen)
+        });
+        format!("not ready before the load: {}", said.collect::<Vec<String>>().join("; "))
+    }
+
     fn start_routers(&mut self) -> io::Result<()> {
         (0..self.routers.len()).try_for_each(|router| self.start_router(router))?;
         let begun = self.clock.now();
         while self.routers.iter().any(|router| router.phase != Phase::Running) {
             (0..self.routers.len()).for_each(|router| self.advance_router(router));
             if self.clock.now() > begun + READY_TIMEOUT {
-                let said = self.routers.iter().filter_map(|router| router.process.as_ref());
-                let said = said.map(|process| process.last_lines(3)).next().unwrap_or_default();
-                return Err(io::Error::other(format!("the routers were not ready before the load: {said}")));
+                return Err(io::Error::other(self.not_ready()));
             }
             std::thread::sleep(STEP);
         }
--- a/soak/src/platform/troubles.rs
+++ b/soak/src/platform/troubles.rs
@@ -155,7 +155,7 @@
                     self.set_present(router);
                 }
             }
-            Kind::DiscoverySilent | Kind::DiscoveryDown | Kind::DiscoverySlow => {
+            Kind::DiscoveryDown | Kind::DiscoverySlow => {
                 self.set_agents(trouble, AgentFault::None, now + TOLD_AFTER);
             }
             Kind::Drain => return self.later(Later::Replace, trouble, schedule),
@@ -182,7 +182,8 @@
             Kind::ClockOne => self.routers[router].control.set_clock_offset(0)?,
             Kind::Syscalls | Kind::Threads | Kind::Disk => self.routers[router].control.clear_faults()?,
             Kind::Maintenance => self.put_back_by_hand(trouble),
-            Kind::Term | Kind::Kill | Kind::Reload | Kind::LinkForget => {}
+            // The silent connections never speak again: a router has to open others.
+            Kind::Term | Kind::Kill | Kind::Reload | Kind::LinkForget | Kind::DiscoverySilent => {}
         }
         Ok(())
     }
--- a/soak/src/serve.rs
+++ b/soak/src/serve.rs
@@ -29,6 +29,8 @@
 /// The store has to take changes again this long after the last trouble.
 const STORE_BACK_AFTER: Micros = 15 * SECOND;
 const STEP: Duration = Duration::from_millis(5);
+/// Processes are sampled this often.
+const SAMPLE_INTERVAL: Micros = SECOND;
 /// A change of the store is made this often.
 const STORE_INTERVAL: Micros = 150_000;
 /// The key that is changed.
@@ -43,6 +45,8 @@
     ending_since: Option<Micros>,
     absent: Option<usize>,
     starting_since: Option<Micros>,
+    /// How many processes it had before this one.
+    incarnation: usize,
     proxies: Vec<Proxy>,
 }
 
@@ -105,6 +109,7 @@
                 ending_since: None,
                 absent: None,
                 starting_since: None,
+                incarnation: 0,
                 proxies,
             });
         }
@@ -146,6 +151,7 @@
         }
         steps.sort_by_key(|(at, ..)| *at);
         let mut next_change_at = begun;
+        let mut next_sample_at = begun;
         while self.clock.now() < end || !steps.is_empty() {
             let now = self.clock.now();
             while steps.first().is_some_and(|(at, ..)| *at <= now) {
@@ -157,6 +163,10 @@
                 next_change_at = now + STORE_INTERVAL;
                 self.change_store();
             }
+            if now >= next_sample_at {
+                next_sample_at = now + SAMPLE_INTERVAL;
+                self.sample();
+            }
             std::thread::sleep(STEP);
         }
         load.end();
@@ -240,6 +250,15 @@
         }
     }
 
+    fn sample(&self) {
+        let at = self.clock.now();
+        let serving = |(_, router): &(usize, &Router)| router.ending_since.is_none();
+        for (index, router) in self.routers.iter().enumerate().filter(serving) {
+            let sample = router.process.as_ref().and_then(|p| p.sample(index, router.incarnation, at));
+            self.recorder.lock().samples.extend(sample);
+        }
+    }
+
     fn advance_all(&mut self) {
         (0..self.routers.len()).for_each(|router| self.advance(router));
     }
@@ -271,6 +290,7 @@
     }
 
     fn restart(&mut self, router: usize) {
+        self.routers[router].incarnation += 1;
         if let Err(error) = self.start_router(router) {
             self.recorder.lock().failed_starts.push(format!("router {router}: {error}"));
         }
--- a/soak/src/trouble.rs
+++ b/soak/src/trouble.rs
@@ -18,7 +18,7 @@
     PauseLong,
     /// SIGHUPs in quick succession, with good and faulty files.
     Reload,
-    /// Discovery's agents keep their connections and say nothing.
+    /// Discovery's agents keep the connections that are open and never say anything on them again; new ones are served.
     DiscoverySilent,
     /// Discovery's agents reset everything and refuse.
     DiscoveryDown,
