--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -73,3 +73,13 @@
 fn short_form_of_serve_keeps_every_promise() {
     assert_eq!(play(&plan("short_serve.toml"), 31), []);
 }
+
+#[test]
+fn keyed_writes_are_not_repeated_outside_their_window_when_hung_primaries_crash() {
+    assert_eq!(play(&plan("hang_then_crash.toml"), 1), []);
+}
+
+#[test]
+fn drains_are_followed_after_every_watch_fell_silent() {
+    assert_eq!(play(&plan("silent_watch.toml"), 1), []);
+}
