--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,15 +1,14 @@
-"""A drained server must receive nothing new, also after a restart of a router that was told of the drain.
+"""A session must see its own writes while the router's process is replaced.
 
-Three routers (`damsonvale serve`) with a node of the store each, a folder for each node, a primary and two replicas.
-After some 1,100 changes of the store an operator drains `shop-c` at router 1 (`damsonvale ctl ... drain shop-c`), which
-confirms it. Clients of router 1 read all the time. Then router 1 is killed and started again with the same file and folder;
-its clients connect again as soon as it listens.
+One router of akureyri-skjol (its settings: `writeMarks` kept, `whenBehind` silent), a primary and two replicas that are
+behind. Each session writes (`document-file`), waits for the answer, and reads its own document (`case-read`, causal) a
+little later. Halfway the process is replaced as DAYS describes: a second process with the same listening socket and the
+same `$TMPDIR`; once it says yes, the first one gets SIGTERM. A session whose connection is closed opens another one.
 """
 import json
 import os
 import signal
 import socket
-import subprocess
 import sys
 import tempfile
 import threading
@@ -17,144 +16,155 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
+
+# The platform holds the clients' listening socket; every process inherits it as descriptor 3.
+LISTENER = socket.socket()
+LISTENER.bind(("127.0.0.1", 0))
+LISTENER.listen(512)
+os.dup2(LISTENER.fileno(), 3, inheritable=True)
+ADDR = "127.0.0.1:%d" % LISTENER.getsockname()[1]
+
 import common
-import mysqlwire as wire
-
-GRACE_S = 0.3  # BRIEF: 250 ms; PROTOCOL: each time limit is 50 ms longer on sockets
-CHANGES = 1100
-CLIENTS = 8
-RESTARTS = 3
-
-FILE = """
-[mysql]
-listen = "127.0.0.1:{client}"
-database = "shop"
-server_user = "router"
-server_password = "r"
-probe = "SELECT probe"
-routers = 3
-
-[[mysql.user]]
-name = "till"
-password = "secret"
-
-[[mysql.class]]
-name = "history-read"
-freshness = "any"
-effect = "safe"
-aim_ms = 400
-deadline_ms = 1000
-
-[[mysql.rule]]
-starts = "select"
-class = "history-read"
-{servers}
-[store]
-node = {node}
-folder = "{folder}"
-control = "127.0.0.1:{control}"
-{peers}
-"""
+import platform_side as platform
+
+SETTINGS = os.path.join(common.ROOT, "deploy", "sites", "akureyri-skjol", "settings.json")
+LAG_MS = 400.0  # how far the replicas are behind: they are crowded
+SESSIONS = 16
+READ_AFTER_S = 0.15  # BRIEF: a session's reads come 120 to 770 ms after its writes, in the mean
+PAUSE_S = 0.1
+
+
+class Group:
+    """One log of commits. A replica has applied all commits up to LAG_MS ago."""
+
+    def __init__(self, record):
+        self.record, self.lock = record, threading.Lock()
+        self.log = {}  # key -> [(commit in ms, number)]
+        self.primary = None
+
+    def position(self, instance):
+        now = platform.unix_ms()
+        return now if instance.name == self.primary else now - LAG_MS
+
+    def answer(self, instance, sql):
+        is_primary = instance.name == self.primary
+        mode = platform.parameter("mode", "read-write" if is_primary else "read-only")
+        if sql == "SELECT 1":
+            return platform.row("1")
+        if sql == "SHOW stats":
+            report = "queue=0,x0=%.3f,x1=%d" % (int(self.position(instance)) / 1000.0, is_primary)
+            return platform.row(report) + mode
+        if sql.split(" ", 1)[0] in ("SET", "RESET", "DISCARD"):
+            return platform.message(b"C", b"SET\0")
+        key = sql.split("'")[1]
+        fields = platform.fields(sql)
+        time.sleep(0.005)
+        with self.lock:
+            if sql.startswith("INSERT"):
+                if not is_primary:
+                    return platform.error("25006", "no primary") + mode
+                commit = platform.unix_ms()
+                number = int(sql.split("'")[3].lstrip("\\x"), 16)
+                self.log.setdefault(key, []).append((commit, number))
+                self.record.write("%s RAN write %s of %s, id %s" % (instance.name, number, key, fields["id"]))
+                return platform.row(str(number)) + mode + platform.parameter("wal_time", str(int(commit) + 1))
+            position = self.position(instance)
+            seen = max([n for at, n in self.log.get(key, []) if at <= position], default=0)
+        self.record.write("%s RAN read of %s, id %s: %d" % (instance.name, key, fields["id"], seen))
+        return platform.row(str(seen)) + mode + platform.parameter("wal_time", str(int(position)))
 
 
 def play(record, processes, trouble):
-    received, lock = [], threading.Lock()
-
-    def run(server, sql, send):
-        if sql == "SELECT probe":
-            now = str(int(time.time() * 1000))
-            return wire.result_set(["0" if server.name == "shop-a" else "1", now])
-        with lock:
-            received.append((time.monotonic(), server.name, sql))
-        record.write("%s RAN %s" % (server.name, sql))
-        time.sleep(0.002)
-        return wire.result_set([server.name])
-
-    servers = [wire.Server(name, run) for name in ("shop-a", "shop-b", "shop-c")]
-    temporary = tempfile.TemporaryDirectory()
-    ports = common.free_ports(9)
-    clients, controls, peers = ports[:3], ports[3:6], ports[6:]
-    tables = "".join('\n[[mysql.server]]\nid = "%s"\naddr = "%s"\n' % (s.name, s.addr) for s in servers)
-    nodes = "".join('\n[[store.peer]]\nnode = %d\naddr = "127.0.0.1:%d"\n' % (n + 1, p) for n, p in enumerate(peers))
-
-    def start(n):
-        path = os.path.join(temporary.name, "router-%d.toml" % (n + 1))
+    group = Group(record)
+    instances = [platform.Instance(name, group.answer) for name in ("s-a", "s-b", "s-c")]
+    group.primary = "s-a"
+    entries = [platform.entry(i, zone, i.name == "s-a")
+               for i, zone in zip(instances, ("oddeyri", "glerarhverfi", "brekka"))]
+    agent = platform.Agent(entries)
+    folder = tempfile.TemporaryDirectory()
+    with open(SETTINGS) as file:
+        settings = json.load(file)
+    settings.update(replicasOfMe=1, slotNo=0)
+    logs = []
+
+    def start():
+        admin = "127.0.0.1:%d" % common.free_ports(1)[0]
+        path = os.path.join(folder.name, "config-%s.json" % admin.split(":")[1])
         with open(path, "w") as file:
-            file.write(FILE.format(client=clients[n], servers=tables, node=n + 1, control=controls[n], peers=nodes,
-                                   folder=os.path.join(temporary.name, "store-%d" % (n + 1))))
-        log = open(os.path.join(temporary.name, "router-%d.log" % (n + 1)), "a")
-        process = processes.start([common.PROGRAM, "serve", path], stdout=log, stderr=log)
-        record.write("router %d started, process %d" % (n + 1, process.pid))
+            json.dump({"name": "n1", "listen": ADDR, "discovery": agent.addr, "seed": "8c1f30d27a5be964",
+                       "admin_addr": admin, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+                       "known": {"version": 41, "full": True, "servers": entries}, "settings": settings}, file)
+        log = open(os.path.join(folder.name, "router-%d.log" % len(logs)), "w")
+        logs.append(log)
+        environment = dict(os.environ, BALANCER_NAME="n1", BALANCER_LISTEN=ADDR, BALANCER_DISCOVERY=agent.addr,
+                           BALANCER_CONFIG=path, BALANCER_PASSED_SOCKET="3", BALANCER_ADMIN_ADDR=admin,
+                           TMPDIR=folder.name)
+        process = processes.start(["/bin/sh", "-c", "exec target/release/damsonvale"], env=environment,
+                                  pass_fds=(3,), stdout=log, stderr=log)
+        record.write("process %d started" % process.pid)
+        common.wait_until("the process says yes", lambda: platform.call(admin, "STATUS").startswith("200"), 6)
+        record.write("process %d says yes" % process.pid)
         return process
 
-    def ctl(*words):
-        command = [common.PROGRAM, "ctl", "127.0.0.1:%d" % controls[0], *words]
-        done = subprocess.run(command, capture_output=True, text=True, timeout=20)
-        record.write("ctl %s: %s%s" % (" ".join(words), done.stdout.strip(), done.stderr.strip()))
-        return done
-
-    routers = [start(n) for n in range(3)]
-    common.wait_until("the store holds the servers", lambda: "shop-c" in ctl("list", "server/").stdout)
-
-    # An operator's notes in the store: as many changes as a store sees within its first days.
-    def change(lane):
-        with socket.create_connection(("127.0.0.1", controls[0])) as sock:
-            answers = sock.makefile()
-            for n in range(CHANGES // 10):
-                sock.sendall((json.dumps({"do": "set", "key": "note/%d" % lane, "text": str(n)}) + "\n").encode())
-                answer = answers.readline()
-                if "version" not in answer:
-                    record.write("change not confirmed: " + answer.strip())
-
-    lanes = [threading.Thread(target=change, args=(lane,), daemon=True) for lane in range(10)]
-    for lane in lanes:
-        lane.start()
-    for lane in lanes:
-        lane.join(60)
-    record.write("%d changes made" % CHANGES)
-    stop = threading.Event()
-
-    def reader(number):
-        client, count = None, 0
+    old = start()
+    stop, counts, stale = threading.Event(), {"reads": 0, "writes": 0, "other": 0}, []
+    lock = threading.Lock()
+
+    def session(number):
+        key, written, acknowledged, asked, client = "key-%02d" % number, 0, 0, 0, None
+
+        def ask(sql):
+            # A close that crosses a request that was not read: the client sends it once more on a new connection.
+            nonlocal client
+            for _ in range(3):
+                try:
+                    if client is None:
+                        client = platform.Client(ADDR)
+                    return client.query(sql)
+                except (ConnectionError, OSError):
+                    record.write("session %s opens a new connection" % key)
+                    client = None
+            return "error", "closed"
+
+        time.sleep(number * 0.02)
         while not stop.is_set():
-            try:
-                if client is None:
-                    client = wire.Client("127.0.0.1:%d" % clients[0], "till", "secret", "shop", 3)
-                count += 1
-                answer = client.query("SELECT n FROM basket WHERE id = 'r%d-%d'" % (number, count))
-                record.write("client %d read %d got %r" % (number, count, answer))
-                time.sleep(0.01)
-            except (ConnectionError, OSError):
-                client = None
-                time.sleep(0.002)
-
-    readers = [threading.Thread(target=reader, args=(n,), daemon=True) for n in range(CLIENTS)]
-    for thread in readers:
+            written, asked = written + 1, asked + 1
+            answer = ask("INSERT INTO objects (oid, body) VALUES ('%s', '\\x%04x') RETURNING body "
+                         "/* id=%s-%d,c=document-file,d=6000,cluster=0 */" % (key, written, key, asked))
+            record.write("session %s write %d got %r" % (key, written, answer))
+            if answer[0] == "row":
+                acknowledged = written
+            time.sleep(READ_AFTER_S)
+            asked += 1
+            answer = ask("SELECT body FROM objects WHERE oid = '%s' "
+                         "/* id=%s-%d,c=case-read,d=3000,cluster=0 */" % (key, key, asked))
+            record.write("session %s read (must see %d) got %r" % (key, acknowledged, answer))
+            with lock:
+                counts["reads" if answer[0] == "row" else "other"] += 1
+                counts["writes"] = counts["writes"] + 1
+                if answer[0] == "row" and int(answer[1]) < acknowledged:
+                    stale.append("session %s: read id %s-%d saw write %s, but write %d had been answered before"
+                                 % (key, key, asked, answer[1], acknowledged))
+            time.sleep(PAUSE_S)
+
+    threads = [threading.Thread(target=session, args=(n,), daemon=True) for n in range(SESSIONS)]
+    for thread in threads:
         thread.start()
-    reads_of = lambda name, since: [r for r in received if r[1] == name and r[0] > since]
-    common.wait_until("both replicas serve", lambda: reads_of("shop-b", 0) and reads_of("shop-c", 0))
-    if "version" not in ctl("drain", "shop-c").stdout:
-        raise common.CannotRun("the drain was not confirmed")
-    drained = time.monotonic()
-    time.sleep(2)
-    for _ in range(RESTARTS):
-        if trouble:
-            record.write("SIGKILL to router 1")
-            routers[0].send_signal(signal.SIGKILL)
-            routers[0].wait()
-            time.sleep(0.3)
-            routers[0] = start(0)
-        time.sleep(2)
+    time.sleep(4)
+    if trouble:
+        new = start()
+        record.write("SIGTERM to process %d" % old.pid)
+        old.send_signal(signal.SIGTERM)
+    time.sleep(4)
     stop.set()
-    for thread in readers:
-        thread.join(5)
-    if '"draining' not in ctl("get", "server/shop-c").stdout.replace("\\", ""):
-        raise common.CannotRun("the store does not hold the drain")
-    if len(reads_of("shop-b", drained)) < 100:
-        raise common.CannotRun("too few reads")
-    late = reads_of("shop-c", drained + GRACE_S)
-    record.write("%d reads at shop-b, %d at shop-c after the drain" % (len(reads_of("shop-b", drained)), len(late)))
-    return ["shop-c received `%s` %.3f s after the drain was confirmed" % (sql, at - drained) for at, _, sql in late]
+    for thread in threads:
+        thread.join(10)
+    if trouble and new.poll() is not None:
+        raise common.CannotRun("the new process ended")
+    record.write("%r, %d stale reads" % (counts, len(stale)))
+    if counts["reads"] < 200:
+        raise common.CannotRun("only %r" % counts)
+    return stale
 
 
 common.main(FOLDER, play)
