Review: the scripts leave no process behind when they are stopped

Cause: a script stopped by a signal left its router running, an unexpected error would have exited with 1, and temporary folders stayed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,6 @@
 """
 import os
 import sys
-import tempfile
 import threading
 import time
 
@@ -105,12 +104,12 @@
 def play(record, processes, trouble):
     group = Group(record)
     servers = [wire.Server(name, group.run) for name in ("stock-a", "stock-b")]
-    folder = tempfile.TemporaryDirectory()
+    folder = common.temporary_folder()
     port = common.free_ports(1)[0]
-    path = os.path.join(folder.name, "mysql.toml")
+    path = os.path.join(folder, "mysql.toml")
     with open(path, "w") as file:
         file.write(FILE.format(port=port, a=servers[0].addr, b=servers[1].addr))
-    log = open(os.path.join(folder.name, "router.log"), "w")
+    log = open(os.path.join(folder, "router.log"), "w")
     processes.start([common.PROGRAM, "serve", path], stdout=log, stderr=log)
     addr = "127.0.0.1:%d" % port
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,6 @@
 import os
 import signal
 import sys
-import tempfile
 import threading
 import time
 
@@ -48,7 +47,7 @@
     entries = [platform.entry(i, zone, i.name == "s-a")
                for i, zone in zip(instances, ("oddeyri", "glerarhverfi", "brekka"))]
     agent = platform.Agent(entries)
-    folder = tempfile.TemporaryDirectory()
+    folder = common.temporary_folder()
     with open(SETTINGS) as file:
         settings = json.load(file)
     settings.update(replicasOfMe=1, slotNo=0)
@@ -56,14 +55,14 @@
                            for c in settings["classes"] if c["name"] == "document-file"]
     settings["extra"].update(freshness=["mutate"], oldestDataMs=[0.0], writeMarks="brought")
     addr = "127.0.0.1:%d" % common.free_ports(1)[0]
-    path = os.path.join(folder.name, "config.json")
+    path = os.path.join(folder, "config.json")
     with open(path, "w") as file:
         json.dump({"name": "n1", "listen": addr, "discovery": agent.addr, "seed": "8c1f30d27a5be964",
                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
                    "known": {"version": 41, "full": True, "servers": entries}, "settings": settings}, file)
     environment = dict(os.environ, BALANCER_NAME="n1", BALANCER_LISTEN=addr, BALANCER_DISCOVERY=agent.addr,
-                       BALANCER_CONFIG=path, TMPDIR=folder.name)
-    log = open(os.path.join(folder.name, "router.log"), "w")
+                       BALANCER_CONFIG=path, TMPDIR=folder)
+    log = open(os.path.join(folder, "router.log"), "w")
     router = processes.start(["/bin/sh", "-c", "exec target/release/damsonvale"], env=environment, stdout=log, stderr=log)
 
     def query(name):
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 import sys
-import tempfile
 import threading
 import time
 
@@ -81,7 +80,7 @@
     entries = [platform.entry(i, zone, i.name == "s-a")
                for i, zone in zip(instances, ("oddeyri", "glerarhverfi", "brekka"))]
     agent = platform.Agent(entries)
-    folder = tempfile.TemporaryDirectory()
+    folder = common.temporary_folder()
     with open(SETTINGS) as file:
         settings = json.load(file)
     settings.update(replicasOfMe=1, slotNo=0)
@@ -89,16 +88,16 @@
 
     def start():
         admin = "127.0.0.1:%d" % common.free_ports(1)[0]
-        path = os.path.join(folder.name, "config-%s.json" % admin.split(":")[1])
+        path = os.path.join(folder, "config-%s.json" % admin.split(":")[1])
         with open(path, "w") as file:
             json.dump({"name": "n1", "listen": ADDR, "discovery": agent.addr, "seed": "8c1f30d27a5be964",
                        "admin_addr": admin, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
                        "known": {"version": 41, "full": True, "servers": entries}, "settings": settings}, file)
-        log = open(os.path.join(folder.name, "router-%d.log" % len(logs)), "w")
+        log = open(os.path.join(folder, "router-%d.log" % len(logs)), "w")
         logs.append(log)
         environment = dict(os.environ, BALANCER_NAME="n1", BALANCER_LISTEN=ADDR, BALANCER_DISCOVERY=agent.addr,
                            BALANCER_CONFIG=path, BALANCER_PASSED_SOCKET="3", BALANCER_ADMIN_ADDR=admin,
-                           TMPDIR=folder.name)
+                           TMPDIR=folder)
         process = processes.start(["/bin/sh", "-c", "exec target/release/damsonvale"], env=environment,
                                   pass_fds=(3,), stdout=log, stderr=log)
         record.write("process %d started" % process.pid)
--- a/review/lib/common.py
+++ b/review/lib/common.py
@@ -1,9 +1,12 @@
 """What the drivers of the review's cases share: the record, and processes that are always ended."""
+import ctypes
 import os
+import shutil
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 
@@ -12,10 +15,30 @@
 STARTED = time.monotonic()
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+FOLDERS = []
+
+
 class CannotRun(Exception):
     """The case could not run: exit code 2."""
 
 
+def temporary_folder():
+    """The path of a new temporary folder, which is removed when the case ends."""
+    FOLDERS.append(tempfile.mkdtemp(prefix="review-"))
+    return FOLDERS[-1]
+
+
+def end_with_parent():
+    """Runs in a started process before its program: it ends with this one, even if this one is killed."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def stop(number, _frame):
+    raise CannotRun("stopped by signal %d" % number)
+
+
 class Record:
     """`record.txt`: what was sent, answered and run, with the seconds since the start."""
 
@@ -38,7 +61,7 @@
         self.all = []
 
     def start(self, command, **more):
-        process = subprocess.Popen(command, cwd=ROOT, **more)
+        process = subprocess.Popen(command, cwd=ROOT, preexec_fn=end_with_parent, **more)
         self.all.append(process)
         return process
 
@@ -74,6 +97,8 @@
     record, processes = Record(folder), Processes()
     trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop)
     try:
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("no program; run the build of the deploy file")
@@ -83,11 +108,17 @@
             record.write("BROKEN " + line)
         code = 1 if broken else 0
         print("%s: %s" % ("rule broken" if broken else "rule held", broken[0] if broken else "no violation seen"))
-    except CannotRun as error:
-        record.write("cannot run: %s" % error)
-        print("cannot run: %s" % error)
+    except Exception as error:
+        # Also an error that nobody expected: it says nothing about the rule.
+        code = 2
+        record.write("cannot run: %s: %s" % (type(error).__name__, error))
+        print("cannot run: %s: %s" % (type(error).__name__, error))
     finally:
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
         processes.end()
+        for path in FOLDERS:
+            shutil.rmtree(path, ignore_errors=True)
         record.write("case ended, exit code %d" % code)
         record.close()
     sys.stdout.flush()
