A shutdown ends only when every request that was read has its answer

Cause: the process exits a fixed time after SIGTERM, the longest deadline plus the 0.65 s in which connections are read. A connection without a command is read for up to 0.3 s after it was opened, so up to 0.8 s after SIGTERM; a MySQL request may have a longer deadline than its class; a queued MySQL command gets its deadline when its turn comes. Nothing compared the end with the commands in flight.

Ruled out: the attempt's own timeout and the response slot (the request was still open in the router actor when the process exited; the record shows the close at the log line "shutdown ended").

The router actor shortens deadlines once a shutdown has begun: of open requests to its end, of requests that arrive after 0.65 s to the longest deadline (3 s at most) plus 0.55 s. decision is told (DeadlineShortened) and ends the request then. "shutdown ended" counts unanswered commands.

--- a/client-listener/src/connection.rs
+++ b/client-listener/src/connection.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// Returns the number of commands that were read and have no response yet.
+    pub(crate) fn commands_in_flight(&self) -> usize {
+        self.commands.count()
+    }
+
     /// Sets why the connection closes, for the log and the metrics; later calls do not replace the first
     /// reason.
     pub fn set_close_reason(&self, reason: CloseReason) {
--- a/client-listener/src/server.rs
+++ b/client-listener/src/server.rs
@@ -21,6 +21,10 @@
 
     /// Called when the client of a request has disconnected, so that the response is no longer needed.
     fn client_disconnected(&self, request: RequestId);
+
+    /// Called when the shutdown of the process begins: from now on, each request needs its final response
+    /// within the shutdown timeouts of [`Limits`].
+    fn shutdown_started(&self);
 }
 
 /// A command to a running server.
--- a/client-listener/src/server/command_loop.rs
+++ b/client-listener/src/server/command_loop.rs
@@ -18,8 +18,9 @@
 
 impl<H: ConnectionHandler> ClientServer<H> {
     /// Accepts and serves connections until [`ServerCommand::Shutdown`] was received and the last connection
-    /// has closed, or [`Limits::shutdown_timeout`] has passed since the command. If all senders of commands
-    /// are dropped before that, the server continues and this never returns.
+    /// has closed, or [`Limits::shutdown_timeout`] has passed since the command and no response is outstanding,
+    /// or [`Limits::client_write_timeout`] has passed after that. If all senders of commands are dropped before
+    /// that, the server continues and this never returns.
     ///
     /// # Errors
     /// Returns the system's error if a descriptor or a thread that the start needs is not available.
@@ -114,7 +115,11 @@
     }
 
     fn tick(&self) -> Event {
-        Event::Tick { open_connections: self.server.connections().len() }
+        let connections = self.server.connections();
+        Event::Tick {
+            open_connections: connections.len(),
+            commands_in_flight: connections.values().map(|connection| connection.commands_in_flight()).sum(),
+        }
     }
 
     fn command_event(&mut self, command: ServerCommand) -> Event {
@@ -123,6 +128,7 @@
                 let grace =
                     if self.successor { Duration::ZERO } else { self.server.limits.shutdown_grace_period };
                 tracing::info!(?grace, "shutdown started, requests are taken for the grace time");
+                self.server.handler.shutdown_started();
                 Event::Shutdown { successor: self.successor }
             }
             ServerCommand::SetDraining(draining) => Event::SetDraining(draining),
@@ -141,14 +147,19 @@
             Action::SetClosePolicy(policy) => self.server.shared.set_close_policy(policy),
             Action::StopAccepting => self.stop_accepting(),
             Action::Complete => {
-                let open = self.server.connections().len();
-                tracing::info!(connections = open, "shutdown ended");
+                self.log_shutdown_end();
                 return Progress::Complete;
             }
         }
         Progress::Serving
     }
 
+    fn log_shutdown_end(&self) {
+        let connections = self.server.connections();
+        let unanswered: usize = connections.values().map(|connection| connection.commands_in_flight()).sum();
+        tracing::info!(connections = connections.len(), unanswered, "shutdown ended");
+    }
+
     fn stop_accepting(&mut self) {
         let Some(AcceptThread { listener, stopped }) = self.accept_thread.take() else { return };
         self.server.accepting.store(false, Ordering::Release);
@@ -167,6 +178,7 @@
         grace: limits.shutdown_grace_period,
         stop_reading: limits.shutdown_read_timeout,
         deadline: limits.shutdown_timeout,
+        forced_deadline: limits.shutdown_timeout + limits.client_write_timeout,
         drain_close_when_idle: limits.drain_idle_close_delay,
         drain_stop_reading: limits.drain_read_timeout,
     }
--- a/client-listener/src/shutdown.rs
+++ b/client-listener/src/shutdown.rs
@@ -4,7 +4,8 @@
 //! Some time after health checks have begun to fail, clients open no new connections, but they go on using
 //! open ones for as long as these stay open. So connections close in stages ([`ClosePolicy`]): first they all
 //! stay open, then each closes once it is idle, and finally even connections that are never idle are no
-//! longer read. Commands that were read always get their response.
+//! longer read. Commands that were read always get their response, so the shutdown is not complete while one
+//! is in flight.
 use std::time::Duration;
 
 /// How open client connections are treated; each variant is stricter than the variant before it.
@@ -36,8 +37,11 @@
     pub grace: Duration,
     /// Time from the start of shutdown after which connections are no longer read.
     pub stop_reading: Duration,
-    /// Time from the start of shutdown after which it is complete, even with open connections.
+    /// Time from the start of shutdown after which it is complete, even with open connections, unless a
+    /// command is in flight.
     pub deadline: Duration,
+    /// Time from the start of shutdown after which it is complete, even with commands in flight.
+    pub forced_deadline: Duration,
     /// Time from the start of a drain after which connections close when idle.
     pub drain_close_when_idle: Duration,
     /// Time from the start of a drain after which connections are no longer read.
@@ -60,6 +64,8 @@
     Tick {
         /// Number of open connections.
         open_connections: usize,
+        /// Number of commands that were read on them and have no response yet.
+        commands_in_flight: usize,
     },
 }
 
@@ -85,6 +91,8 @@
     successor: bool,
     accepting: bool,
     policy: ClosePolicy,
+    /// Number of commands in flight at the last tick.
+    commands_in_flight: usize,
     complete: bool,
 }
 
@@ -98,6 +106,7 @@
             successor: false,
             accepting: true,
             policy: ClosePolicy::KeepOpen,
+            commands_in_flight: 0,
             complete: false,
         }
     }
@@ -115,14 +124,22 @@
         self.apply(now, event, actions);
         self.update_accepting(now, actions);
         self.update_policy(now, actions);
-        let all_closed = event == Event::Tick { open_connections: 0 } && !self.accepting;
-        let past_deadline = |elapsed| elapsed >= self.times.deadline;
-        if self.since_shutdown(now).is_some_and(|elapsed| all_closed || past_deadline(elapsed)) {
+        if self.is_over(now, event) {
             self.complete = true;
             actions.push(Action::Complete);
         }
     }
 
+    /// Returns whether the shutdown is complete: the connections are closed, or the time for it is over. A
+    /// command in flight extends that time, because the end of the process would discard its response.
+    fn is_over(&self, now: Duration, event: Event) -> bool {
+        let Some(elapsed) = self.since_shutdown(now) else { return false };
+        let all_closed = matches!(event, Event::Tick { open_connections: 0, .. }) && !self.accepting;
+        let latest =
+            if self.commands_in_flight == 0 { self.times.deadline } else { self.times.forced_deadline };
+        all_closed || elapsed >= latest
+    }
+
     /// Updates the state of drain and shutdown from the event.
     fn apply(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         match event {
@@ -130,7 +147,8 @@
                 self.drain_started = draining.then_some(now);
                 actions.push(Action::ReportDraining(draining));
             }
-            Event::SetDraining(_) | Event::Tick { .. } => {}
+            Event::SetDraining(_) => {}
+            Event::Tick { commands_in_flight, .. } => self.commands_in_flight = commands_in_flight,
             Event::Shutdown { successor } => {
                 self.successor = successor;
                 self.shutdown_started.get_or_insert(now);
--- a/client-listener/tests/connections/shutdown.rs
+++ b/client-listener/tests/connections/shutdown.rs
@@ -83,6 +83,25 @@
     server.wait_until_stopped();
 }
 
+/// Guards against a process that exits by itself before it has answered a command that it has read.
+#[test]
+fn server_stops_after_its_time_only_once_each_command_has_its_response() {
+    let mut limits = test_limits();
+    limits.shutdown_timeout = Duration::from_millis(50);
+    let ByteCommands { server, commands, keep_open, .. } = byte_commands(limits);
+    let mut client = server.connect();
+    client.write_all(b"1").unwrap();
+    let (connection, _) = commands.recv_timeout(TEST_TIMEOUT).unwrap();
+    server.shut_down();
+    let stopped = server.stopped.recv_timeout(Duration::from_millis(300));
+    assert!(stopped.is_err(), "the server stopped with a command in flight");
+    respond(&connection, b"one");
+    server.wait_until_stopped();
+    let mut received = [0; 3];
+    client.read_exact(&mut received).unwrap();
+    drop(keep_open);
+}
+
 #[test]
 fn last_response_closes_connection_with_half_read_command() {
     let (half_read, half_commands) = unbounded();
--- a/client-listener/tests/connections/support.rs
+++ b/client-listener/tests/connections/support.rs
@@ -33,6 +33,8 @@
     fn client_disconnected(&self, request: RequestId) {
         panic!("{request:?}: this handler submits no requests");
     }
+
+    fn shutdown_started(&self) {}
 }
 
 pub(crate) fn test_limits() -> Limits {
--- a/decision/src/interface.rs
+++ b/decision/src/interface.rs
@@ -302,6 +302,13 @@
         /// The id of the request whose client has disconnected.
         request: RequestId,
     },
+    /// A request gets less time than it arrived with. The driver ends attempts in flight at the new deadline.
+    DeadlineShortened {
+        /// The id of the request.
+        request: RequestId,
+        /// The new deadline; a later one than the present has no effect.
+        deadline: Time,
+    },
     /// A timer set with [`Action::SetTimer`] has expired.
     TimerExpired,
 }
--- a/decision/src/router.rs
+++ b/decision/src/router.rs
@@ -178,6 +178,7 @@
             Event::ClientDisconnected { request } => self.finish(request),
             Event::AttemptEnded { .. } => self.on_attempt_ended(event),
             Event::ProbeEnded { member, outcome, report } => self.on_probe_ended(member, outcome, report),
+            Event::DeadlineShortened { request, deadline } => self.shorten_deadline(request, deadline),
             Event::TimerExpired => self.on_timer(),
         }
         if self.settings.list_requires_subscription && !self.subscribed {
--- a/decision/src/router/admission.rs
+++ b/decision/src/router/admission.rs
@@ -44,6 +44,12 @@
         self.dispatch(id);
     }
 
+    pub(super) fn shorten_deadline(&mut self, id: RequestId, deadline: Time) {
+        if let Some(pending) = self.requests.get_mut(&id) {
+            pending.request.deadline = pending.request.deadline.min(deadline);
+        }
+    }
+
     /// Estimates how long ago the client first sent the request. All first tries have the same ratio of
     /// timeout to class deadline, which is the most common one. Any other ratio marks a client's retry: that
     /// client has already waited for the part of the deadline that its timeout lacks.
--- a/decision/tests/admission.rs
+++ b/decision/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Rejection of requests that cannot be served in time.
 mod common;
-use common::{DEDUPLICATED, MS, TestRouter, is_rejected, sent_attempts, settings};
-use decision::{Action, Outcome};
+use common::{DEDUPLICATED, MS, TestRouter, is_failed, is_rejected, sent_attempts, settings};
+use decision::{Action, Event, Idempotency, MemberId, Outcome, Time};
 
 #[test]
 fn queued_read_is_rejected_once_with_retry_after() {
@@ -42,3 +42,31 @@
     (0..2_000).for_each(|_| _ = is_rejected_with(600));
     assert!(!is_rejected_with(600));
 }
+
+/// Guards against a request that outlives the process, because its deadline is later than the end of a shutdown.
+#[test]
+fn request_ends_at_its_shortened_deadline() {
+    for in_flight in [false, true] {
+        let mut router = TestRouter::new(settings(Idempotency::NotIdempotent));
+        if in_flight {
+            router = TestRouter::ready(settings(Idempotency::NotIdempotent));
+        }
+        let (write, actions) = router.request(0, None);
+        assert_eq!(sent_attempts(&actions).len(), usize::from(in_flight));
+        let deadline = Time(router.now + 300 * MS);
+        router.handle(Event::DeadlineShortened { request: write, deadline });
+        // A later deadline changes nothing.
+        let later = Time(router.now + 900 * MS);
+        router.handle(Event::DeadlineShortened { request: write, deadline: later });
+        let mut actions = router.advance(150);
+        assert!(!is_rejected(&actions, write), "rejected before the deadline: {actions:?}");
+        actions.extend(router.advance(200));
+        if in_flight {
+            // The driver times out the attempt at the new deadline.
+            actions = router.end_attempt(write, 0, MemberId(0), Outcome::TimedOut);
+            assert!(is_failed(&actions, write), "{actions:?}");
+        } else {
+            assert!(is_rejected(&actions, write), "{actions:?}");
+        }
+    }
+}
--- a/decision/tests/recorded_runs/text.rs
+++ b/decision/tests/recorded_runs/text.rs
@@ -74,6 +74,9 @@
             format!("probe-ended m{} {} {}", member.0, outcome_text(*outcome), report_text(*report))
         }
         Event::ClientDisconnected { request } => format!("client-disconnected r{}", request.0),
+        Event::DeadlineShortened { request, deadline } => {
+            format!("deadline-shortened r{} deadline={}", request.0, deadline.0)
+        }
         Event::TimerExpired => "timer".into(),
     }
 }
--- a/decision/tests/scale_invariance.rs
+++ b/decision/tests/scale_invariance.rs
@@ -95,6 +95,7 @@
                 *load_report = self.report(*load_report);
             }
             Event::ProbeEnded { report, .. } => *report = self.report(*report),
+            Event::DeadlineShortened { deadline, .. } => *deadline = self.time(*deadline),
             Event::ListUpdateFailed
             | Event::RouterCountChanged(_)
             | Event::ResponseStarted { .. }
--- a/mysql/src/front.rs
+++ b/mysql/src/front.rs
@@ -57,4 +57,8 @@
     fn client_disconnected(&self, request: RequestId) {
         self.router.client_disconnected(request);
     }
+
+    fn shutdown_started(&self) {
+        self.router.shutdown_started();
+    }
 }
--- a/postgres/src/front.rs
+++ b/postgres/src/front.rs
@@ -38,4 +38,8 @@
     fn client_disconnected(&self, request: RequestId) {
         self.handle.client_disconnected(request);
     }
+
+    fn shutdown_started(&self) {
+        self.handle.shutdown_started();
+    }
 }
--- a/routing/src/messages.rs
+++ b/routing/src/messages.rs
@@ -8,7 +8,7 @@
 use crate::protocol::{BackendProtocol, ExchangeResult};
 use crate::request::ClientRequest;
 use crossbeam_channel::Sender;
-use decision::{GroupId, MemberId, MemberReport, Outcome, RequestId};
+use decision::{GroupId, MemberId, MemberReport, Outcome, RequestId, Time};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -61,6 +61,11 @@
     Placement(placement::RulesUpdate),
     /// Number of routers that share the capacity of the endpoints, including this one.
     RouterCount(u32),
+    /// The shutdown of the process has begun.
+    ShutdownStarted {
+        /// Time at which it began.
+        at: Time,
+    },
 }
 
 /// Identifies a backend. IDs are never reused. An endpoint whose address changes retains its member ID but
--- a/routing/src/router.rs
+++ b/routing/src/router.rs
@@ -12,6 +12,8 @@
 mod probing;
 mod request_record;
 mod requests;
+mod shutdown;
+mod shutdown_deadlines;
 mod transitions;
 
 pub use handle::RouterHandle;
--- a/routing/src/router/actor.rs
+++ b/routing/src/router/actor.rs
@@ -2,6 +2,7 @@
 //! state machine.
 use super::endpoint_record::EndpointRecord;
 use super::request_record::RequestRecord;
+use super::shutdown_deadlines::ShutdownDeadlines;
 use crate::attempt_id::AttemptId;
 use crate::backends::BackendResources;
 use crate::clock::Clock;
@@ -91,6 +92,8 @@
     pub(super) missing_members_may_serve: bool,
     /// Checks the invariants of request handling, from the transitions of requests.
     pub(super) observer: Observer,
+    /// Limits on the deadlines of requests; `None` before the shutdown of the process.
+    pub(super) shutdown: Option<ShutdownDeadlines>,
     /// Placement subsets; `None` without placement settings.
     pub(super) subsets: Option<Box<PlacementSubsets>>,
 }
@@ -122,6 +125,7 @@
             process_count: 1,
             reserved_connections: 0,
             unavailable_groups: BTreeSet::new(),
+            shutdown: None,
             subsets: None,
         }
     }
@@ -200,6 +204,7 @@
             RouterMessage::UnavailableGroups(groups) => self.unavailable_groups = groups,
             RouterMessage::ProcessCount(processes) => self.set_process_count(processes),
             RouterMessage::RouterCount(routers) => self.set_router_count(routers),
+            RouterMessage::ShutdownStarted { at } => self.shutdown_started(at),
             RouterMessage::Placement(update) => {
                 self.handle_placement(placement::Event::RulesUpdated(update));
             }
--- a/routing/src/router/handle.rs
+++ b/routing/src/router/handle.rs
@@ -92,6 +92,12 @@
         self.send(RouterMessage::Placement(update));
     }
 
+    /// Notifies the router actor that the shutdown of the process begins now: from now on, each request gets
+    /// its final response within the shutdown timeouts of [`settings::Limits`].
+    pub fn shutdown_started(&self) {
+        self.send(RouterMessage::ShutdownStarted { at: self.clock.now() });
+    }
+
     fn send(&self, message: RouterMessage<P>) {
         // Sending fails only while the program is shutting down.
         _ = self.sender.send(message);
--- a/routing/src/router/requests.rs
+++ b/routing/src/router/requests.rs
@@ -27,6 +27,10 @@
             payload,
             response_sender,
         } = arrived;
+        let deadline = match &self.shutdown {
+            Some(shutdown) => shutdown.limit(self.clock.now(), deadline),
+            None => deadline,
+        };
         // The tenant is not passed to the decision state machine. Placement identifies tenants by name.
         let mut request = Request { id, class, tenant: 0, session, group, deadline, session_commit };
         let placed = self.apply_placement_rules(tenant, &request);
--- a/settings/src/limits/bounds.rs
+++ b/settings/src/limits/bounds.rs
@@ -152,7 +152,11 @@
     /// After SIGTERM, clients that send continuously are read for this long; a request that is read by then
     /// still has its full deadline.
     pub shutdown_read_timeout: Duration,
-    /// After SIGTERM, the process exits after this time at the latest.
+    /// After SIGTERM, requests that arrive after `shutdown_read_timeout` get their final response within this
+    /// time.
+    pub shutdown_late_response_timeout: Duration,
+    /// After SIGTERM, requests get their final response within this time, and the process exits after it. If a
+    /// response has still to be written, the exit waits for up to `client_write_timeout` more.
     pub shutdown_timeout: Duration,
     /// Idle client connections are closed this long after the start of a manual drain, when no new
     /// connections are expected any more.
@@ -213,6 +217,10 @@
 const MIN_SHUTDOWN_TIME: Duration = Duration::from_secs(3);
 /// After SIGTERM, the platform's front end has this long to notice that the router is draining.
 const SHUTDOWN_GRACE_PERIOD: Duration = Duration::from_millis(500);
+/// The longest deadline that the platform allows for between SIGTERM and SIGKILL.
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// Time that is reserved for writing the last responses after their deadline.
+const SHUTDOWN_WRITE_MARGIN: Duration = Duration::from_millis(100);
 /// After the grace period, only idle connections are closed for at least this long; then also those that may
 /// carry a request.
 const SHUTDOWN_IDLE_CLOSE_DURATION: Duration = Duration::from_millis(150);
@@ -224,7 +232,9 @@
         let RequestTimes { connect_timeout, backend_keepalive, longest_deadline } = times;
         let reserved_descriptors = descriptors::RESERVED;
         let shares = ConnectionShares::divide(descriptors, reserved_descriptors);
-        let last_response = longest_deadline.max(MIN_SHUTDOWN_TIME) + SHUTDOWN_GRACE_PERIOD;
+        let shutdown_read_timeout = SHUTDOWN_GRACE_PERIOD + SHUTDOWN_IDLE_CLOSE_DURATION;
+        let shutdown_timeout = longest_deadline.max(MIN_SHUTDOWN_TIME) + shutdown_read_timeout;
+        let counted_deadline = longest_deadline.min(MAX_COUNTED_DEADLINE);
         Limits {
             socket_thread_stack_bytes: 96 * 1024,
             // The longest value, 64 KiB, is written as hexadecimal digits in a statement, which takes twice
@@ -292,8 +302,10 @@
             shutdown_grace_period: SHUTDOWN_GRACE_PERIOD,
             // SIGKILL follows SIGTERM after the longest deadline (at most 3 s) plus 0.7 s: requests that are
             // read within this timeout have their full deadline before SIGKILL.
-            shutdown_read_timeout: SHUTDOWN_GRACE_PERIOD + SHUTDOWN_IDLE_CLOSE_DURATION,
-            shutdown_timeout: last_response + SHUTDOWN_IDLE_CLOSE_DURATION,
+            shutdown_read_timeout,
+            // The full deadline of such a request could end after SIGKILL.
+            shutdown_late_response_timeout: counted_deadline + shutdown_read_timeout - SHUTDOWN_WRITE_MARGIN,
+            shutdown_timeout,
             drain_idle_close_delay: Duration::from_millis(500),
             drain_read_timeout: Duration::from_millis(1500),
             draining_first_request_timeout: Duration::from_millis(300),
--- a/settings/tests/shutdown.rs
+++ b/settings/tests/shutdown.rs
@@ -26,6 +26,10 @@
             limits.shutdown_read_timeout + counted_deadline + Duration::from_millis(50) <= earliest_kill,
             "{ms}"
         );
+        // A late request gets its response before the earliest SIGKILL, although the router may be suspended
+        // for 0.15 s, and before the process exits by itself.
+        assert!(limits.shutdown_late_response_timeout + Duration::from_millis(150) <= earliest_kill, "{ms}");
+        assert!(limits.shutdown_late_response_timeout <= limits.shutdown_timeout, "{ms}");
         // SIGKILL is sent at the latest after the longest deadline, counted as at least 3 s, plus 0.7 s.
         let latest_kill = longest.max(Duration::from_secs(3)) + Duration::from_millis(700);
         assert!(limits.shutdown_timeout + Duration::from_millis(50) <= latest_kill, "{ms}");
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -627,6 +627,43 @@
     assert_eq!(setup.router.wait_for_exit().0, Some(0));
 }
 
+/// Guards against a request that was read before the shutdown, and whose deadline lies beyond the end of the
+/// process: it has to get its final response before the process exits.
+#[test]
+fn request_with_deadline_beyond_the_shutdown_is_answered_before_the_process_exits() {
+    let setup = Setup::start();
+    let mut client = setup.client();
+    setup.primary.0.set_behavior(Behavior::Silent);
+    let pending_write = std::thread::spawn(move || {
+        client.query_drop("INSERT INTO orders VALUES (4) /* c=order-place,d=60000 */").unwrap_err()
+    });
+    setup.primary.1.recv_timeout(TIMEOUT).unwrap();
+    setup.router.terminate();
+    assert_eq!(code(pending_write.join().unwrap()).0, 3024);
+    assert_eq!(setup.router.wait_for_exit().0, Some(0));
+}
+
+/// Guards against a command that was read before the end of the shutdown but waits behind another one of its
+/// connection: it has to get its response too, before the connection is closed.
+#[test]
+fn commands_queued_behind_a_slow_one_get_responses_before_the_process_exits() {
+    const COMMANDS: usize = 4;
+    let setup = Setup::start();
+    let client = RawClient::connect(setup.addr);
+    setup.primary.0.set_behavior(Behavior::Silent);
+    let order = |n: usize| format!("\x03INSERT INTO orders VALUES ({n}) /* c=order-place,d=1400 */");
+    let commands: Vec<u8> = (0..COMMANDS).flat_map(|n| packets(0, &[order(n).as_bytes()])).collect();
+    (&client.0).write_all(&commands).unwrap();
+    setup.primary.1.recv_timeout(TIMEOUT).unwrap();
+    setup.router.terminate();
+    for n in 0..COMMANDS {
+        let response = read_packet(&client.0).unwrap_or_else(|e| panic!("no response to command {n}: {e}")).1;
+        assert_eq!(response[0], 0xff, "command {n}");
+    }
+    assert!(read_packet(&client.0).is_err(), "the connection stays open");
+    assert_eq!(setup.router.wait_for_exit().0, Some(0));
+}
+
 #[test]
 fn invalid_configuration_is_named_and_ends_startup() {
     let folder = TestFolder::new();
