An error behind a part of a response no longer counts as "nothing ran" (MySQL)

Cause: exchange_result took the number of the last payload: 1290, 1836, 1040, 1203 and 1226 became "never ran" although a result of the same request came before. The same holds for a procedure that sends no result before the statement that fails, and for 1243 from within one (execute_statement ran it again). The record shows the second CALL at stock-b right after the 1290 of stock-a; decision and the permits acted rightly on a wrong outcome.

Ruled out: the retry rules (an unsafe class whose outcome is Error is not repeated), hedging, the prepare before an execution (runs nothing), PostgreSQL's front (an error behind a part of a row is malformed there, and its protocol says that 25006, 72000, 53300 and 57P03 have no effect).

Change: such an error proves it only as the whole response and only for a statement that a server runs as a whole. Otherwise the outcome is Error, with the role that 1290 and 1836 state. A request that may run in part waits until the primary is known instead of being tried at the likeliest member (decision).

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -259,6 +259,7 @@
             group: GroupId(count(body, "cluster")?),
             deadline: Time(now.0 + time_from_ms(body, "expiresInMs")?),
             session_commit: (last_write > 0).then(|| Time(now.0 - last_write)),
+            may_run_partially: false,
         };
         self.next_request += 1;
         let tracked =
--- a/decision/src/interface.rs
+++ b/decision/src/interface.rs
@@ -206,6 +206,9 @@
     /// The commit that the request must see, if requests contain it
     /// ([`SessionCommitSource::CarriedByRequest`]).
     pub session_commit: Option<Time>,
+    /// Whether the request may run in part before it fails, so that it cannot be tried at a member that may not
+    /// be the primary.
+    pub may_run_partially: bool,
 }
 
 /// The result of an attempt or a probe.
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -77,6 +77,7 @@
 //!     group: GroupId(0),
 //!     deadline: Time(1600 * ms),
 //!     session_commit: None,
+//!     may_run_partially: false,
 //! };
 //!
 //! let mut router = Router::new(settings, 42);
--- a/decision/src/router/choice.rs
+++ b/decision/src/router/choice.rs
@@ -67,7 +67,7 @@
         let all_not_eligible = pending.attempts.len() == not_eligible;
         let all_tried = not_eligible + 1 >= self.settings.max_attempts as usize;
         let can_check = self.replicas_check_freshness() || self.class(pending).freshness == Freshness::Write;
-        if !can_check || !all_not_eligible || all_tried {
+        if !can_check || !all_not_eligible || all_tried || pending.request.may_run_partially {
             return None;
         }
         let backlog_factor = self.backlog_factor(pending);
--- a/decision/tests/choice.rs
+++ b/decision/tests/choice.rs
@@ -5,7 +5,8 @@
     settings, settings_with_freshness_checks,
 };
 use decision::{
-    Event, MemberEntry, MemberId, MemberReport, Outcome, RequestId, SessionCommitSource, Settings, Time,
+    Event, Idempotency, MemberEntry, MemberId, MemberReport, Outcome, Request, RequestId,
+    SessionCommitSource, Settings, Time,
 };
 
 #[test]
@@ -177,3 +178,28 @@
     let (_, actions) = router.request(3, None);
     assert!(sent_attempts(&actions).is_empty());
 }
+
+/// Guards against a request that fails without need, because it is tried at a member that turns out not to be the
+/// primary, and the member's error does not prove that nothing ran.
+#[test]
+fn request_that_may_run_partially_waits_until_the_primary_is_known() {
+    for may_run_partially in [false, true] {
+        let mut router = TestRouter::new(settings(Idempotency::NotIdempotent));
+        router.list_members(2);
+        let request = Request {
+            id: RequestId(77),
+            group: common::GROUP,
+            deadline: Time(router.now + 1000 * MS),
+            may_run_partially,
+            ..Request::default()
+        };
+        let actions = router.handle(Event::RequestArrived(request));
+        assert_eq!(sent_attempts(&actions).is_empty(), may_run_partially, "{actions:?}");
+        if may_run_partially {
+            assert_eq!(probed_members(&actions), [MemberId(0), MemberId(1)]);
+            router.now += 20 * MS;
+            let actions = router.probe_ended(1, true, 0);
+            assert_eq!(sent_attempts(&actions), [(RequestId(77), MemberId(1))]);
+        }
+    }
+}
--- a/decision/tests/cold_fleet/world.rs
+++ b/decision/tests/cold_fleet/world.rs
@@ -274,6 +274,7 @@
             group: common::GROUP,
             deadline: Time(client.deadline),
             session_commit: None,
+            may_run_partially: false,
         };
         self.handle(client.router, Event::RequestArrived(request));
     }
--- a/decision/tests/common/mod.rs
+++ b/decision/tests/common/mod.rs
@@ -190,6 +190,7 @@
             group: GROUP,
             deadline: Time(self.now + timeout_ms * MS),
             session_commit: commit_age_ms.map(|age| Time(self.now - age * MS)),
+            may_run_partially: false,
         };
         (id, self.handle(Event::RequestArrived(request)))
     }
--- a/decision/tests/invariants.rs
+++ b/decision/tests/invariants.rs
@@ -237,6 +237,7 @@
             group: GROUP,
             deadline: Time(now + timeout),
             session_commit: carried_commit.filter(|_| requests_carry_commit).map(Time),
+            may_run_partially: false,
         }));
     }
 
--- a/decision/tests/member_list.rs
+++ b/decision/tests/member_list.rs
@@ -41,7 +41,16 @@
             router.next_request += 1;
             let session = Some(SessionId(router.next_request));
             let deadline = Time(router.now + 1200 * MS);
-            let write = Request { id, class: 0, tenant: 0, session, group, deadline, session_commit: None };
+            let write = Request {
+                id,
+                class: 0,
+                tenant: 0,
+                session,
+                group,
+                deadline,
+                session_commit: None,
+                may_run_partially: false,
+            };
             for (request, member) in sent_attempts(&router.handle(Event::RequestArrived(write))) {
                 let commit = Some(Time(router.now));
                 router.end_attempt_with_report(request, 0, member, Outcome::Ok, role(true), commit);
--- a/decision/tests/recorded_runs/world.rs
+++ b/decision/tests/recorded_runs/world.rs
@@ -366,6 +366,7 @@
             deadline: Time(self.now + timeout),
             session_commit: session_commit
                 .filter(|_| self.settings.session_commit_source == SessionCommitSource::CarriedByRequest),
+            may_run_partially: false,
         };
         self.handle(Event::RequestArrived(request));
     }
--- a/decision/tests/scale_invariance.rs
+++ b/decision/tests/scale_invariance.rs
@@ -270,7 +270,16 @@
         self.next_request += 1;
         self.requests.insert(id, (class, 0));
         let session = Some(SessionId(self.rng.u64(..20)));
-        let request = Request { id, class, tenant: 0, session, group: GROUP, deadline, session_commit };
+        let request = Request {
+            id,
+            class,
+            tenant: 0,
+            session,
+            group: GROUP,
+            deadline,
+            session_commit,
+            may_run_partially: false,
+        };
         self.handle(Event::RequestArrived(request));
     }
 
--- a/mysql/src/backend/connection.rs
+++ b/mysql/src/backend/connection.rs
@@ -1,11 +1,12 @@
 //! An authenticated connection to one server: sends commands and reads their responses.
 use super::probe::ProbeRow;
 use super::server_response::{
-    PrepareOk, PrepareOutcome, ResponseError, ServerResult, is_unknown_statement, last_error, reusable_result,
+    PrepareOk, PrepareOutcome, ResponseError, SentCommand, ServerResult, error_result, is_atomic,
+    is_unknown_statement, reusable_result, unknown_statement_result,
 };
 use super::statement_cache::{ServerStatementId, StatementCache};
 use crate::command;
-use crate::errors::{self, ServerErrorMeaning};
+use crate::errors;
 use crate::packet::{PACKET_HEADER_BYTES, PacketReader, ReadError, frame_command};
 use crate::request::{LongParameters, ResponsePayloads};
 use crate::results::ResponseState;
@@ -85,7 +86,7 @@
     pub(super) fn query(&mut self, text: &[u8], guard: &AttemptGuard) -> Result<ServerResult, NotSent> {
         self.write_command(guard, &[&[command::QUERY], text])?;
         let response = self.read_response();
-        Ok(self.exchange_result(response))
+        Ok(self.exchange_result(SentCommand::Execute(text), response))
     }
 
     /// Prepares a statement and returns the response, which describes the statement's parameters and columns.
@@ -97,12 +98,14 @@
         let permit = guard.permit_write().map_err(|_| NotSent::Cancelled)?;
         match self.prepare(text, &permit) {
             Ok(PrepareOutcome::Ready { response, .. } | PrepareOutcome::Error(response)) => {
-                Ok(self.exchange_result(Ok(response)))
+                Ok(self.exchange_result(SentCommand::Prepare, Ok(response)))
             }
             // Preparing a statement does not run it, so if the server fails the request can be sent to
             // another server.
             Err(ResponseError::Failed(_)) => Err(NotSent::ConnectionBroken),
-            Err(error @ ResponseError::TooLarge) => Ok(self.exchange_result(Err(error))),
+            Err(error @ ResponseError::TooLarge) => {
+                Ok(self.exchange_result(SentCommand::Prepare, Err(error)))
+            }
         }
     }
 
@@ -121,18 +124,20 @@
                 Some(id) => id,
                 None => match self.prepare_for_execution(text, guard)? {
                     PrepareOutcome::Ready { id, .. } => id,
-                    PrepareOutcome::Error(response) => return Ok(self.exchange_result(Ok(response))),
+                    PrepareOutcome::Error(response) => {
+                        return Ok(self.exchange_result(SentCommand::Prepare, Ok(response)));
+                    }
                 },
             };
             self.write_execution(id, body, long_parameters, guard)?;
             let response = self.read_response();
             if !is_unknown_statement(&response) {
-                return Ok(self.exchange_result(response));
+                return Ok(self.exchange_result(SentCommand::Execute(text), response));
             }
-            // The server does not know the statement ID and has not run the statement.
             self.statements.remove(text);
-            if is_retry {
-                return Ok(reusable_result(Outcome::Rejected));
+            // An atomic statement has not run, because the server does not know its ID.
+            if is_retry || !is_atomic(text) {
+                return Ok(unknown_statement_result(text));
             }
             is_retry = true;
         }
@@ -253,9 +258,13 @@
         }
     }
 
-    /// Converts a response to the result of the exchange. A result set that ends in an error counts as a
-    /// response to the statement, unless the error number maps to another outcome.
-    fn exchange_result(&self, response: Result<ResponsePayloads, ResponseError>) -> ServerResult {
+    /// Converts the response to a command to the result of the exchange. A result set that ends in an error
+    /// counts as a response to the statement, unless the error number maps to another outcome.
+    fn exchange_result(
+        &self,
+        command: SentCommand<'_>,
+        response: Result<ResponsePayloads, ResponseError>,
+    ) -> ServerResult {
         match response {
             Err(ResponseError::Failed(outcome)) => ExchangeResult::from_outcome(outcome),
             Err(ResponseError::TooLarge) => {
@@ -264,21 +273,19 @@
                 let response = vec![errors::encode(errors::TOO_LARGE, &text)];
                 ExchangeResult { response: Some(response), ..ExchangeResult::from_outcome(Outcome::Ok) }
             }
-            Ok(response) => match last_error(&response).map(errors::server_error_meaning) {
-                Some(ServerErrorMeaning::Outcome(outcome)) => reusable_result(outcome),
-                _ => ExchangeResult {
-                    response: Some(response),
-                    // Upper bound, in the server's clock, of the commit time. It does not apply to a read: a
-                    // replica's position is that of its latest heartbeat.
-                    commit: Some(
-                        self.context.clocks.commit_upper_bound(self.context.addr, self.context.clock.now()),
-                    ),
-                    ..reusable_result(Outcome::Ok)
-                },
-            },
+            Ok(response) => error_result(command, &response).unwrap_or_else(|| self.served(response)),
         }
     }
 
+    /// Returns the result of an exchange whose response is forwarded to the client.
+    fn served(&self, response: ResponsePayloads) -> ServerResult {
+        let context = &self.context;
+        // Upper bound, in the server's clock, of the commit time. It does not apply to a read: a replica's
+        // position is that of its latest heartbeat.
+        let commit = context.clocks.commit_upper_bound(context.addr, context.clock.now());
+        ExchangeResult { response: Some(response), commit: Some(commit), ..reusable_result(Outcome::Ok) }
+    }
+
     /// Reads the response to a probe that was sent at `sent_at`.
     fn read_probe(&mut self, sent_at: Time) -> ServerResult {
         let response = match self.read_response() {
--- a/mysql/src/backend/server_response.rs
+++ b/mysql/src/backend/server_response.rs
@@ -4,7 +4,8 @@
 use crate::fields::FieldReader;
 use crate::packet::ReadError;
 use crate::request::ResponsePayloads;
-use routing::{ExchangeResult, Outcome};
+use crate::statement::scan;
+use routing::{ExchangeResult, MemberReport, Outcome};
 use std::io;
 
 /// Result of one exchange with a server.
@@ -67,16 +68,59 @@
     }
 }
 
-pub(super) fn last_error(response: &ResponsePayloads) -> Option<u16> {
-    response.last().and_then(|payload| errors::error_number(payload))
+/// The command that a response belongs to.
+#[derive(Clone, Copy)]
+pub(super) enum SentCommand<'a> {
+    /// The preparation of a statement, which does not run it.
+    Prepare,
+    /// The execution of the statement with this text.
+    Execute(&'a [u8]),
 }
 
+impl SentCommand<'_> {
+    /// Returns whether an error that a server sends for a statement it has not begun proves that nothing of this
+    /// command ran. The error may also come from a later statement of a stored procedure, after the earlier
+    /// ones have taken effect. A result before the error shows that; without one, both cases look the same.
+    fn nothing_ran(self, response: &ResponsePayloads) -> bool {
+        match self {
+            SentCommand::Prepare => true,
+            SentCommand::Execute(text) => response.len() == 1 && is_atomic(text),
+        }
+    }
+}
+
+/// Returns whether the server runs the statement with this text as a whole.
+pub(super) fn is_atomic(text: &[u8]) -> bool {
+    std::str::from_utf8(text).is_ok_and(|text| scan(text).is_atomic())
+}
+
+/// Returns the result of an exchange whose response ends with an error that is not the statement's own; `None`
+/// for any other response, which is forwarded to the client.
+pub(super) fn error_result(command: SentCommand<'_>, response: &ResponsePayloads) -> Option<ServerResult> {
+    let number = response.last().and_then(|payload| errors::error_number(payload))?;
+    let ServerErrorMeaning::Outcome(outcome) = errors::server_error_meaning(number) else { return None };
+    if !outcome.never_ran() || command.nothing_ran(response) {
+        return Some(reusable_result(outcome));
+    }
+    // The server has stated its role, although the statement may have run.
+    let primary = (outcome == Outcome::NotEligible).then_some(false);
+    let response_report = MemberReport { primary, position: None };
+    Some(ExchangeResult { response_report, ..reusable_result(Outcome::Error) })
+}
+
+/// Returns whether the response to an execution says that the server does not know the prepared statement.
 pub(super) fn is_unknown_statement(response: &Result<ResponsePayloads, ResponseError>) -> bool {
     let Ok(response) = response else { return false };
     let number = errors::error_number(&response[0]);
     number.is_some_and(|number| errors::server_error_meaning(number) == ServerErrorMeaning::UnknownStatement)
 }
 
+/// Returns the result of an execution whose statement the server does not know, and which is not repeated. The
+/// error may also come from within a stored procedure that has begun.
+pub(super) fn unknown_statement_result(text: &[u8]) -> ServerResult {
+    reusable_result(if is_atomic(text) { Outcome::Rejected } else { Outcome::Error })
+}
+
 /// Creates a result after which the connection can be reused.
 pub(super) fn reusable_result(outcome: Outcome) -> ServerResult {
     ExchangeResult { reusable: true, ..ExchangeResult::from_outcome(outcome) }
--- a/mysql/src/errors.rs
+++ b/mysql/src/errors.rs
@@ -12,6 +12,10 @@
 //! | 1158 to 1161, 1180, 1317, 1927, 3024 | error | server failed or stopped the statement; it may have run |
 //! | any other | served | the statement itself failed; the error is forwarded to the client unchanged |
 //!
+//! An error that says that nothing ran proves it only if it is the whole response, and only for a statement that
+//! the server runs as a whole. In the response to `CALL` it may come from a later statement of the procedure, so
+//! it counts as an error: the statement may have run.
+//!
 //! A client whose request ends without a server's response receives one of [`REJECTED`], [`TIMED_OUT`],
 //! [`RESET`], [`ERROR`] and [`CANCELLED`].
 use routing::{FinalResponse, Outcome};
--- a/mysql/src/front/session.rs
+++ b/mysql/src/front/session.rs
@@ -149,7 +149,7 @@
             return Err(CommandError::new(errors::EMPTY_QUERY, "the text is empty"));
         }
         statement.check_supported()?;
-        if statement.normalized.starts_with("call ") && !self.login.accepts_multi_results {
+        if statement.is_call() && !self.login.accepts_multi_results {
             let text = "CALL needs a client that takes several results";
             return Err(CommandError::new(errors::NO_MULTI_RESULTS, text));
         }
--- a/mysql/src/front/submission.rs
+++ b/mysql/src/front/submission.rs
@@ -48,6 +48,8 @@
             group,
             deadline,
             session_commit,
+            // Preparing a statement does not run it.
+            may_run_partially: requirements.may_run_partially && !matches!(request, Request::Prepare(_)),
             payload: request,
             response_sender: sender,
         };
--- a/mysql/src/requirements.rs
+++ b/mysql/src/requirements.rs
@@ -27,6 +27,8 @@
     pub tenant: Option<String>,
     /// Time that the client waits for a response, in milliseconds.
     pub wait_ms: u64,
+    /// Whether the statement may run in part before it fails.
+    pub may_run_partially: bool,
 }
 
 impl Requirements {
@@ -59,6 +61,7 @@
             session: statement.comment_field(SESSION_FIELD).map(str::to_string),
             tenant: statement.comment_field(TENANT_FIELD).map(str::to_string),
             wait_ms: wait_ms.min(MAX_WAIT_MS),
+            may_run_partially: !statement.is_atomic(),
         })
     }
 }
--- a/mysql/src/statement.rs
+++ b/mysql/src/statement.rs
@@ -18,6 +18,12 @@
 const SESSION_FUNCTIONS: [&str; 6] =
     ["last_insert_id", "found_rows", "row_count", "get_lock", "release_lock", "connection_id"];
 
+/// First words of the statements that a server runs as a whole.
+const ATOMIC_STATEMENTS: [&str; 17] = [
+    "select", "show", "describe", "desc", "explain", "table", "values", "with", "do", "insert", "replace",
+    "update", "delete", "create", "alter", "drop", "truncate",
+];
+
 /// A `name=value` field in a comment.
 #[derive(Debug)]
 struct CommentField {
@@ -140,6 +146,17 @@
         self.normalized.split(is_separator).filter(|word| !word.is_empty())
     }
 
+    /// Returns whether the statement calls a stored procedure.
+    pub fn is_call(&self) -> bool {
+        self.words().next() == Some("call")
+    }
+
+    /// Returns whether the server runs the statement as a whole: if it fails, none of its changes remain. Each
+    /// statement of a stored procedure, or of a block of statements, takes effect by itself.
+    pub fn is_atomic(&self) -> bool {
+        self.words().next().is_some_and(|word| ATOMIC_STATEMENTS.contains(&word))
+    }
+
     /// Returns whether the statement only reads. Any other statement is sent only to a primary and never
     /// retried.
     pub fn is_read_only(&self) -> bool {
--- a/postgres/src/front/submission.rs
+++ b/postgres/src/front/submission.rs
@@ -62,6 +62,7 @@
         session_commit: statement
             .after_ms
             .map(|ms| front.handle.wall_clock.commit(Time(ms.saturating_mul(1000)))),
+        may_run_partially: false,
         payload: statement,
         response_sender: sender,
     };
--- a/routing/src/request.rs
+++ b/routing/src/request.rs
@@ -21,6 +21,9 @@
     pub deadline: Time,
     /// Commit of the session that the request must observe.
     pub session_commit: Option<Time>,
+    /// Whether the request may run in part before it fails, so that no error of an endpoint proves that it never
+    /// ran.
+    pub may_run_partially: bool,
     /// Message to send to an endpoint.
     pub payload: P::Payload,
     /// Channel for the final response, which must have capacity for one message.
--- a/routing/src/router/requests.rs
+++ b/routing/src/router/requests.rs
@@ -24,6 +24,7 @@
             group,
             deadline,
             session_commit,
+            may_run_partially,
             payload,
             response_sender,
         } = arrived;
@@ -32,7 +33,8 @@
             None => deadline,
         };
         // The tenant is not passed to the decision state machine. Placement identifies tenants by name.
-        let mut request = Request { id, class, tenant: 0, session, group, deadline, session_commit };
+        let mut request =
+            Request { id, class, tenant: 0, session, group, deadline, session_commit, may_run_partially };
         let placed = self.apply_placement_rules(tenant, &request);
         let mut record = self.new_record(&request, connection, payload, response_sender);
         if let Some(metrics) = &self.metrics {
--- a/routing/tests/handover/script.rs
+++ b/routing/tests/handover/script.rs
@@ -315,6 +315,7 @@
             group: GroupId(group),
             deadline: Time(self.handle.clock.now().0 + timeout_micros),
             session_commit: None,
+            may_run_partially: false,
             payload: Payload { _in_use: in_use_sender },
             response_sender,
         };
--- a/routing/tests/placement/script.rs
+++ b/routing/tests/placement/script.rs
@@ -285,6 +285,7 @@
             group,
             deadline: Time(self.handle.clock.now().0 + 10_000_000),
             session_commit: None,
+            may_run_partially: false,
             payload: class == WRITE,
             response_sender,
         });
--- a/routing/tests/probe_spacing.rs
+++ b/routing/tests/probe_spacing.rs
@@ -103,6 +103,7 @@
             group: GroupId(0),
             deadline: Time(now.0 + 2_000_000),
             session_commit: None,
+            may_run_partially: false,
         };
         self.state_machine.handle(now, Event::RequestArrived(request), actions);
         self.state_machine.handle(now, Event::ClientDisconnected { request: id }, actions);
--- a/simulator/src/world/clients.rs
+++ b/simulator/src/world/clients.rs
@@ -94,6 +94,7 @@
             group: GroupId(group as u32),
             deadline,
             session_commit,
+            may_run_partially: false,
         };
         self.handle_router_event(router, Event::RequestArrived(arrived));
     }
