A session's read sees the writes that another process of the router has served

Cause: decision::Router holds the commits of sessions in one process's memory; a new process requires no position for a session's read, although another process of the same router is serving or has served.

Ruled out: the positions of replicas (a read that requires a position is sent only where it is proven) and the order of response and commit inside one process.

Change: package commit-exchange: each process logs the commits it serves in the router's folder before the response, and reads the others' logs before it routes a session's read; commits that no log contains raise the position that all reads of sessions require. decision has two events for this. Sessions are identified by XXH3, which no version changes.

--- a/admin/src/lib.rs
+++ b/admin/src/lib.rs
@@ -26,4 +26,4 @@
 pub use limits::AdminLimits;
 pub use response::Response;
 pub use server::{AdminServer, AdminServerError};
-pub use service::{AdminService, ServiceDependencies};
+pub use service::{AdminService, ServiceDependencies, SharedCommits};
--- a/admin/src/service.rs
+++ b/admin/src/service.rs
@@ -3,9 +3,11 @@
 //! the effect of each command.
 mod coordinator;
 mod dependencies;
+mod shared_commits;
 mod shared_folder;
 
 pub use dependencies::ServiceDependencies;
+pub use shared_commits::SharedCommits;
 
 use crate::command::Command;
 use crate::handler::AdminHandler;
@@ -16,9 +18,14 @@
 use std::io;
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 const SYNC_THREAD_NAME: &str = "maintenance";
 
+/// How often a starting process checks whether the other processes share their session commits, before it accepts
+/// clients regardless.
+const MAX_COMMIT_POLLS: u32 = 20;
+
 /// The command handler of a router.
 pub struct AdminService(Mutex<Coordinator>);
 
@@ -51,6 +58,7 @@
             // The router's other processes count its processes once per interval: two intervals are enough
             // for them to notice this process and to reduce their use of the shared resources.
             std::thread::sleep(2 * interval);
+            self.wait_for_commits(interval);
         }
         spawn_needed(SYNC_THREAD_NAME, limits.socket_thread_stack_bytes, move || {
             loop {
@@ -63,6 +71,21 @@
         })
     }
 
+    /// Waits until each other process shares its session commits, but not for long: an earlier version of the
+    /// program shares none, and reads of sessions then go to the primary while it is alive.
+    fn wait_for_commits(&self, interval: Duration) {
+        for _ in 0..MAX_COMMIT_POLLS {
+            let mut coordinator = self.coordinator();
+            coordinator.update_process_count();
+            if coordinator.receives_all_commits() {
+                return;
+            }
+            drop(coordinator);
+            std::thread::sleep(interval);
+        }
+        tracing::warn!("another process shares no session commits, reads of sessions go to the primary");
+    }
+
     /// Announces that this process is shutting down: it accepts no more clients, and no other process may
     /// rely on it.
     pub fn announce_shutdown(&self) {
--- a/admin/src/service/coordinator.rs
+++ b/admin/src/service/coordinator.rs
@@ -4,6 +4,7 @@
 use super::shared_folder::{SharedFolder, StoredState};
 use crate::response::Response;
 use client_listener::ServerCommand;
+use commit_exchange::ServedBefore;
 use maintenance::{
     Action, EndpointChange, Event, LockedStateFile, Machine, MaintenanceError, MaintenanceMask,
     OtherProcesses, SharedFolderError,
@@ -56,7 +57,8 @@
             restored_retention: i64::try_from(limits.maintenance_warmup_duration.as_micros())
                 .unwrap_or(i64::MAX),
         };
-        let StoredState { state, shared } = SharedFolder::open(shared_folder);
+        let StoredState { state, shared } =
+            SharedFolder::open(shared_folder, dependencies.commits.as_deref());
         let mut coordinator = Coordinator {
             dependencies,
             shared,
@@ -81,6 +83,11 @@
         self.others.alive == 0
     }
 
+    /// Whether the reads of sessions see the commits of each other process.
+    pub(super) fn receives_all_commits(&self) -> bool {
+        self.dependencies.commits.as_ref().is_none_or(|commits| commits.all_peers_publish())
+    }
+
     /// Returns the response to `STATUS`.
     pub(super) fn status(&self) -> Response {
         if !self.dependencies.accepting.load(Ordering::Acquire) {
@@ -145,7 +152,13 @@
         if self.dependencies.accepting.load(Ordering::Acquire) {
             shared.mark_ready_once();
         }
-        let others = shared.presence.count_others();
+        let processes = shared.presence.others();
+        if let Some(commits) = &self.dependencies.commits {
+            let accepting = self.dependencies.accepting.load(Ordering::Acquire);
+            let served = if accepting || shared.is_marked() { ServedBefore::Yes } else { ServedBefore::No };
+            commits.update_processes(&processes, served);
+        }
+        let others = OtherProcesses::count(&processes);
         if others == self.others {
             return;
         }
--- a/admin/src/service/dependencies.rs
+++ b/admin/src/service/dependencies.rs
@@ -1,4 +1,5 @@
 //! The parts of the router that the service uses.
+use super::shared_commits::SharedCommits;
 use client_listener::ServerCommand;
 use crossbeam_channel::Sender;
 use routing::{Clock, EndpointsHandle, Metrics};
@@ -21,6 +22,8 @@
     pub accepting: Arc<AtomicBool>,
     /// Sets how many processes, including this one, share the router's limits.
     pub set_process_count: Box<dyn Fn(u32) + Send>,
+    /// The session commits that the processes of this router share; `None` if they do not need any.
+    pub commits: Option<Arc<SharedCommits>>,
     /// The clock for maintenance times, the same in all processes of this router: Unix time.
     pub clock: Clock,
     /// The limits that the router is configured with.
--- a/admin/src/service/shared_folder.rs
+++ b/admin/src/service/shared_folder.rs
@@ -1,4 +1,5 @@
 //! The folder that the processes of one router share: the stored state, and the presence of each process.
+use super::shared_commits::SharedCommits;
 use maintenance::{ProcessPresence, SharedFolderError, State, StateFile};
 use std::path::Path;
 
@@ -19,20 +20,27 @@
 }
 
 impl SharedFolder {
-    /// Reads the stored state and registers this process. Errors are logged: the state is then initially
-    /// empty, or lost when this process ends.
-    pub(super) fn open(folder: Option<&Path>) -> StoredState {
+    /// Reads the stored state, registers this process, and joins the exchange of session commits. Errors are
+    /// logged: the state is then initially empty, or lost when this process ends.
+    pub(super) fn open(folder: Option<&Path>, commits: Option<&SharedCommits>) -> StoredState {
         let Some(folder) = folder else {
             tracing::warn!("maintenance state not shared, it is lost when this process ends; set $TMPDIR");
             return StoredState { state: State::default(), shared: None };
         };
+        // The first process of the router creates the folder.
+        let has_predecessor = folder.exists();
         let state_file = match StateFile::open(folder) {
             Ok(file) => file,
             Err(error) => return StoredState { state: State::default(), shared: not_shared(&error) },
         };
         let state = read_or_default(&state_file);
         let shared = match ProcessPresence::register(folder, std::process::id()) {
-            Ok(presence) => Some(SharedFolder { state_file, presence, marked: false }),
+            Ok(presence) => {
+                if let Some(commits) = commits {
+                    commits.join(folder, &presence, has_predecessor);
+                }
+                Some(SharedFolder { state_file, presence, marked: false })
+            }
             Err(error) => not_shared(&error),
         };
         StoredState { state, shared }
@@ -49,6 +57,11 @@
         }
     }
 
+    /// Returns whether this process has been marked as ready or as shutting down.
+    pub(super) fn is_marked(&self) -> bool {
+        self.marked
+    }
+
     /// Marks this process as no longer accepting clients.
     pub(super) fn mark_shutting_down(&mut self) {
         self.marked = true;
--- a/admin/tests/common/router.rs
+++ b/admin/tests/common/router.rs
@@ -74,6 +74,7 @@
             set_draining: Box::new(move |draining| _ = drain_callbacks.send(Effect::Drain(draining))),
             accepting: accepting.clone(),
             set_process_count: Box::new(move |count| _ = to_callbacks.send(Effect::CoreProcesses(count))),
+            commits: None,
             clock: Clock::new(),
             limits: Arc::new(limits),
         };
--- a/decision/src/interface.rs
+++ b/decision/src/interface.rs
@@ -312,6 +312,21 @@
         /// The new deadline; a later one than the present has no effect.
         deadline: Time,
     },
+    /// A write of a session was served by another process of this router.
+    SessionCommitted {
+        /// The group of the write.
+        group: GroupId,
+        /// The session of the write.
+        session: SessionId,
+        /// The commit time of the write.
+        commit: Time,
+    },
+    /// Writes of any session with commits up to this time may have been served by other processes of this
+    /// router.
+    SessionsCommitted {
+        /// The latest possible commit time.
+        until: Time,
+    },
     /// A timer set with [`Action::SetTimer`] has expired.
     TimerExpired,
 }
--- a/decision/src/router.rs
+++ b/decision/src/router.rs
@@ -133,7 +133,8 @@
     groups: BTreeMap<GroupId, Group>,
     requests: BTreeMap<RequestId, PendingRequest>,
     session_commits: BTreeMap<(GroupId, SessionId), Time>,
-    /// The position that every session read requires, from evicted entries of `session_commits`.
+    /// The position that every session read requires, from evicted entries of `session_commits` and from
+    /// commits that other processes may have served.
     minimum_position: Option<Time>,
     /// Running mean of the latency of each class, in microseconds.
     latency_ewma: Vec<f64>,
@@ -179,6 +180,10 @@
             Event::AttemptEnded { .. } => self.on_attempt_ended(event),
             Event::ProbeEnded { member, outcome, report } => self.on_probe_ended(member, outcome, report),
             Event::DeadlineShortened { request, deadline } => self.shorten_deadline(request, deadline),
+            Event::SessionCommitted { group, session, commit } => self.record_commit(group, session, commit),
+            Event::SessionsCommitted { until } => {
+                self.minimum_position = self.minimum_position.max(Some(until));
+            }
             Event::TimerExpired => self.on_timer(),
         }
         if self.settings.list_requires_subscription && !self.subscribed {
--- a/decision/src/router/attempts.rs
+++ b/decision/src/router/attempts.rs
@@ -160,7 +160,7 @@
         }
     }
 
-    fn record_commit(&mut self, group: GroupId, session: SessionId, commit: Time) {
+    pub(super) fn record_commit(&mut self, group: GroupId, session: SessionId, commit: Time) {
         if self.settings.session_commit_source != SessionCommitSource::RememberedByRouter {
             return;
         }
--- a/decision/tests/choice.rs
+++ b/decision/tests/choice.rs
@@ -6,7 +6,7 @@
 };
 use decision::{
     Event, Idempotency, MemberEntry, MemberId, MemberReport, Outcome, Request, RequestId,
-    SessionCommitSource, Settings, Time,
+    SessionCommitSource, SessionId, Settings, Time,
 };
 
 #[test]
@@ -64,6 +64,32 @@
     assert!(sent_attempts(&router.request(2, None).1).iter().all(|s| s.1 == MemberId(0)));
 }
 
+/// Guards against a session that misses its own write, because another process of the router has served it.
+#[test]
+fn session_read_sees_writes_that_another_process_has_served() {
+    let remembered = SessionCommitSource::RememberedByRouter;
+    let settings = Settings { session_commit_source: remembered, ..settings(DEDUPLICATED) };
+    let goes_to_primary_after = |event: fn(Time) -> Event| {
+        let mut router = TestRouter::ready(settings.clone());
+        router.now += 10 * MS;
+        // The replicas' last reported positions are older than this time.
+        let event = event(Time(router.now));
+        router.handle(event);
+        sent_attempts(&router.request(2, None).1).iter().all(|sent| sent.1 == MemberId(0))
+    };
+    assert!(goes_to_primary_after(|at| Event::SessionCommitted {
+        group: common::GROUP,
+        session: SessionId(1),
+        commit: at
+    }));
+    assert!(goes_to_primary_after(|until| Event::SessionsCommitted { until }));
+    assert!(!goes_to_primary_after(|at| Event::SessionCommitted {
+        group: common::GROUP,
+        session: SessionId(2),
+        commit: at
+    }));
+}
+
 #[test]
 fn reads_do_not_flood_primary_if_replicas_lag() {
     let mut router = TestRouter::with_lagging_replicas(settings(DEDUPLICATED), [5000, 5000]);
--- a/decision/tests/recorded_runs/text.rs
+++ b/decision/tests/recorded_runs/text.rs
@@ -77,6 +77,10 @@
         Event::DeadlineShortened { request, deadline } => {
             format!("deadline-shortened r{} deadline={}", request.0, deadline.0)
         }
+        Event::SessionCommitted { group, session, commit } => {
+            format!("session-committed g{} session={} commit={}", group.0, session.0, commit.0)
+        }
+        Event::SessionsCommitted { until } => format!("sessions-committed until={}", until.0),
         Event::TimerExpired => "timer".into(),
     }
 }
--- a/decision/tests/scale_invariance.rs
+++ b/decision/tests/scale_invariance.rs
@@ -96,6 +96,9 @@
             }
             Event::ProbeEnded { report, .. } => *report = self.report(*report),
             Event::DeadlineShortened { deadline, .. } => *deadline = self.time(*deadline),
+            Event::SessionCommitted { commit: time, .. } | Event::SessionsCommitted { until: time } => {
+                *time = self.time(*time);
+            }
             Event::ListUpdateFailed
             | Event::RouterCountChanged(_)
             | Event::ResponseStarted { .. }
--- a/maintenance/src/lib.rs
+++ b/maintenance/src/lib.rs
@@ -69,6 +69,6 @@
 pub use error::{FileOperation, SharedFolderError, UnusableReason};
 pub use interface::{Action, EndpointChange, Event, MaintenanceError, MaintenanceMask, Settings};
 pub use machine::Machine;
-pub use presence::{OtherProcesses, ProcessPresence};
+pub use presence::{OtherProcess, OtherProcesses, ProcessPresence};
 pub use state::{MaintenanceEntry, State};
 pub use state_file::{LockedStateFile, StateFile};
--- a/maintenance/src/presence.rs
+++ b/maintenance/src/presence.rs
@@ -38,6 +38,15 @@
     file: File,
 }
 
+/// Another process of this router that is alive.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OtherProcess {
+    /// The name of the process, which no other process of this router ever has.
+    pub name: String,
+    /// Whether the process accepts clients.
+    pub ready: bool,
+}
+
 /// Counts of the other processes of this router.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OtherProcesses {
@@ -100,26 +109,30 @@
         self.write_content(NOT_READY)
     }
 
-    /// Counts the other processes of this router and removes the files of dead processes. Reads the whole
-    /// folder; if the folder cannot be read, the counts are 0.
+    /// Returns the name of this process, which no other process of this router ever has.
+    pub fn name(&self) -> String {
+        process_name(&self.file_name.to_string_lossy())
+    }
+
+    /// Counts the other processes of this router, as [`ProcessPresence::others`] returns them.
     pub fn count_others(&self) -> OtherProcesses {
-        let mut others = OtherProcesses::default();
-        for entry in std::fs::read_dir(&self.folder).into_iter().flatten().flatten() {
-            if let Some(status) = self.other_process_status(&entry) {
-                others.alive += 1;
-                others.ready += usize::from(status == ProcessStatus::Ready);
-            }
-        }
-        others
+        OtherProcesses::count(&self.others())
+    }
+
+    /// Returns the other processes of this router and removes the files of dead processes. Reads the whole
+    /// folder; if the folder cannot be read, there are none.
+    pub fn others(&self) -> Vec<OtherProcess> {
+        let entries = std::fs::read_dir(&self.folder).into_iter().flatten().flatten();
+        entries.filter_map(|entry| self.other_process(&entry)).collect()
     }
 
     fn write_content(&self, content: &[u8]) -> Result<(), SharedFolderError> {
         self.file.write_all_at(content, 0).map_err(SharedFolderError::io(FileOperation::Write, &self.path))
     }
 
-    /// Returns the status of the process that owns this file; `None` if no live process other than this one
-    /// owns it. Removes the file of a dead process.
-    fn other_process_status(&self, entry: &DirEntry) -> Option<ProcessStatus> {
+    /// Returns the process that owns this file; `None` if no live process other than this one owns it. Removes
+    /// the file of a dead process.
+    fn other_process(&self, entry: &DirEntry) -> Option<OtherProcess> {
         let file_name = entry.file_name();
         let text = file_name.to_str().filter(|name| name.starts_with(FILE_PREFIX))?;
         let temporary = text.ends_with(TEMPORARY_SUFFIX);
@@ -137,7 +150,9 @@
                 let _ = std::fs::remove_file(entry.path());
                 None
             }
-            Err(TryLockError::WouldBlock) if !temporary => Some(read_status(&mut file)),
+            Err(TryLockError::WouldBlock) if !temporary => {
+                Some(OtherProcess { name: process_name(text), ready: is_ready(&mut file) })
+            }
             Err(_) => None,
         }
     }
@@ -150,20 +165,22 @@
     }
 }
 
-/// Status that a live process has written to its file.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum ProcessStatus {
-    NotReady,
-    Ready,
+impl OtherProcesses {
+    /// Counts these processes.
+    pub fn count(others: &[OtherProcess]) -> OtherProcesses {
+        OtherProcesses { alive: others.len(), ready: others.iter().filter(|process| process.ready).count() }
+    }
+}
+
+/// Returns the name of the process that owns the file with this name.
+fn process_name(file_name: &str) -> String {
+    file_name.strip_prefix(FILE_PREFIX).unwrap_or(file_name).to_string()
 }
 
-fn read_status(file: &mut File) -> ProcessStatus {
+/// Returns whether a live process has marked itself as accepting clients.
+fn is_ready(file: &mut File) -> bool {
     let mut first_byte = [0];
-    if file.read_exact(&mut first_byte).is_ok() && first_byte[0] == READY[0] {
-        ProcessStatus::Ready
-    } else {
-        ProcessStatus::NotReady
-    }
+    file.read_exact(&mut first_byte).is_ok() && first_byte[0] == READY[0]
 }
 
 /// Whether an attempt with another name may succeed.
--- a/postgres/src/front/submission.rs
+++ b/postgres/src/front/submission.rs
@@ -6,8 +6,8 @@
 use client_listener::Connection;
 use crossbeam_channel::{Receiver, bounded};
 use routing::{ClientRequest, FinalResponse, GroupId, SessionId, Time};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A submitted request, and the channel on which its final response arrives.
 pub(super) struct PendingRequest {
@@ -82,8 +82,8 @@
     Time(now.0 + wait.min(class.deadline_us) - age)
 }
 
+/// Returns the session with this key. The processes of one router exchange these ids, so that all versions of the
+/// program have to use the same hash function.
 fn session_id(key: &[u8]) -> SessionId {
-    let mut hasher = DefaultHasher::new();
-    key.hash(&mut hasher);
-    SessionId(hasher.finish())
+    SessionId(xxh3_64(key))
 }
--- a/postgres/tests/front.rs
+++ b/postgres/tests/front.rs
@@ -72,6 +72,7 @@
             clock: Clock::new(),
             responded: None,
             metrics: Some(metrics.clone()),
+            commit_sharing: None,
             placement: None,
         };
         let (handle, _endpoints) = builder.start().unwrap();
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -21,6 +21,7 @@
 mod attempt_id;
 mod backends;
 mod clock;
+mod commit_sharing;
 mod endpoint;
 pub mod endpoints;
 mod final_response;
@@ -42,7 +43,10 @@
 
 pub use attempt_id::AttemptId;
 pub use clock::Clock;
-pub use decision::{GroupId, MemberReport, MemberState, Outcome, RequestId, SessionId, Settings, Time};
+pub use commit_sharing::{CommitSharing, PeerCommits, SessionCommit};
+pub use decision::{
+    GroupId, MemberReport, MemberState, Outcome, RequestId, SessionCommitSource, SessionId, Settings, Time,
+};
 pub use endpoint::{EndpointEntry, EndpointUpdate, MaintenanceMask, UpdateOrder};
 pub use endpoints::EndpointsHandle;
 pub use final_response::FinalResponse;
--- a/routing/src/router.rs
+++ b/routing/src/router.rs
@@ -4,6 +4,7 @@
 mod actor;
 mod attempts;
 mod capacity;
+mod commits;
 mod endpoint_record;
 mod endpoint_updates;
 mod handle;
@@ -20,6 +21,7 @@
 
 use crate::backends::BackendResources;
 use crate::clock::Clock;
+use crate::commit_sharing::CommitSharing;
 use crate::endpoints::{self, EndpointsHandle};
 use crate::idle_connection::ConnectionCount;
 use crate::metrics::Metrics;
@@ -53,6 +55,9 @@
     pub responded: Option<Arc<RespondedEndpoints>>,
     /// Metrics of the router; `None` if the router has no admin address.
     pub metrics: Option<Arc<Metrics>>,
+    /// Shares the commits of sessions with other processes of this router; `None` if this is the only one, or if
+    /// requests contain the commits that they must see.
+    pub commit_sharing: Option<Arc<dyn CommitSharing>>,
     /// Settings of tenant placement; `None` disables placement, so tenants and sites have no effect. The
     /// rules are delivered by [`RouterHandle::update_placement`], and every request is rejected until the
     /// first update is received.
@@ -84,6 +89,7 @@
         actor.subsets = subsets;
         actor.responded = self.responded;
         actor.metrics = self.metrics;
+        actor.commit_sharing = self.commit_sharing;
         spawn_needed(THREAD_NAME, stack_bytes, move || actor.run(&mailbox))?;
         Ok((handle, endpoints))
     }
--- a/routing/src/router/actor.rs
+++ b/routing/src/router/actor.rs
@@ -6,6 +6,7 @@
 use crate::attempt_id::AttemptId;
 use crate::backends::BackendResources;
 use crate::clock::Clock;
+use crate::commit_sharing::CommitSharing;
 use crate::messages::{BackendSender, RouterMessage};
 use crate::metrics::Metrics;
 use crate::observer::Observer;
@@ -43,6 +44,8 @@
 /// Rules of a request class that the router actor applies itself.
 pub(super) struct ClassRules {
     pub(super) is_write: bool,
+    /// Whether requests of the class must see the earlier writes of their session.
+    pub(super) reads_session: bool,
     /// Retries and hedged attempts that are allowed.
     pub(super) repeat: RepeatRule,
     /// Retry-after value for requests of an unavailable group.
@@ -56,7 +59,12 @@
             .max_retry_after
             .map(|max| Duration::from_micros(max.min(class.latency_objective).max(0) as u64));
         let repeat = RepeatRule { idempotency: class.idempotency, hedging_allowed: settings.hedging_allowed };
-        ClassRules { is_write: class.freshness == Freshness::Write, repeat, retry_after }
+        ClassRules {
+            is_write: class.freshness == Freshness::Write,
+            reads_session: class.freshness == Freshness::Session,
+            repeat,
+            retry_after,
+        }
     }
 }
 
@@ -92,6 +100,8 @@
     pub(super) missing_members_may_serve: bool,
     /// Checks the invariants of request handling, from the transitions of requests.
     pub(super) observer: Observer,
+    /// Shares the commits of sessions with other processes of this router.
+    pub(super) commit_sharing: Option<Arc<dyn CommitSharing>>,
     /// Limits on the deadlines of requests; `None` before the shutdown of the process.
     pub(super) shutdown: Option<ShutdownDeadlines>,
     /// Placement subsets; `None` without placement settings.
@@ -125,6 +135,7 @@
             process_count: 1,
             reserved_connections: 0,
             unavailable_groups: BTreeSet::new(),
+            commit_sharing: None,
             shutdown: None,
             subsets: None,
         }
--- a/routing/src/router/attempts.rs
+++ b/routing/src/router/attempts.rs
@@ -189,6 +189,9 @@
         let commit = record.commit(outcome, commit, &mut response_report);
         self.record_attempt_ended(attempt, member, &times, outcome);
         if let Some(response) = response {
+            if let Some(commit) = commit {
+                self.publish_commit(request, commit);
+            }
             let response = FinalResponse::Served(response, commit);
             self.send_response(request, response, EndReason::AttemptOutcome(outcome));
         }
--- a/routing/src/router/request_record.rs
+++ b/routing/src/router/request_record.rs
@@ -4,7 +4,7 @@
 use crate::metrics::Metrics;
 use crate::permit::{AttemptGuard, Denial, RepeatRule, RepeatState, ResponseSlot, Verdict};
 use crate::protocol::BackendProtocol;
-use decision::{MemberId, MemberReport, Outcome, Time};
+use decision::{GroupId, MemberId, MemberReport, Outcome, SessionId, Time};
 use std::sync::Arc;
 
 /// An attempt that has not ended.
@@ -21,6 +21,9 @@
 pub(super) struct RequestRecord<P: BackendProtocol> {
     pub(super) payload: Arc<P::Payload>,
     pub(super) class: usize,
+    /// Group that the client named.
+    pub(super) group: GroupId,
+    pub(super) session: Option<SessionId>,
     /// Time at which the client stops waiting for a response.
     pub(super) deadline: Time,
     pub(super) is_write: bool,
--- a/routing/src/router/requests.rs
+++ b/routing/src/router/requests.rs
@@ -58,6 +58,7 @@
             let retry_after = self.classes.get(class).and_then(|rules| rules.retry_after);
             return self.respond(id, FinalResponse::Rejected(retry_after), EndReason::GroupUnavailable);
         }
+        self.receive_commits(class);
         self.handle_decision_event(Event::RequestArrived(request));
     }
 
@@ -71,6 +72,8 @@
         RequestRecord {
             payload: Arc::new(payload),
             class: request.class,
+            group: request.group,
+            session: request.session,
             deadline: request.deadline,
             is_write: self.classes.get(request.class).is_none_or(|rules| rules.is_write),
             connection,
--- a/routing/src/wall_clock/converter.rs
+++ b/routing/src/wall_clock/converter.rs
@@ -72,6 +72,12 @@
         self.lock_state_after_comparison().offsets.commit(self.clock.now(), reported)
     }
 
+    /// Converts a time of the router's clock to Unix time in microseconds, as servers report it. The inverse of
+    /// [`WallClock::commit`] unless the wall clock is stepped in between.
+    pub fn to_unix(&self, time: Time) -> Time {
+        self.lock_state_after_comparison().offsets.to_unix(time)
+    }
+
     /// Converts the replication position that a server reported; returns `None` if it cannot be determined.
     /// The position of a primary is the present.
     pub fn position(&self, server: SocketAddr, reported: Time, is_primary: bool) -> Option<Time> {
--- a/routing/src/wall_clock/offsets.rs
+++ b/routing/src/wall_clock/offsets.rs
@@ -61,6 +61,11 @@
         Time(reported.0.saturating_sub(self.current))
     }
 
+    /// Converts a time of the router's clock to the current wall clock.
+    pub fn to_unix(&self, time: Time) -> Time {
+        Time(time.0.saturating_add(self.current))
+    }
+
     /// Returns the conversions of a reported time under all known offsets that are not later than `latest`.
     fn plausible(&self, reported: Time, latest: Time) -> impl Iterator<Item = Time> {
         let before = self.past.iter().map(move |offset| Time(reported.0.saturating_sub(*offset)));
--- a/routing/tests/handover/script.rs
+++ b/routing/tests/handover/script.rs
@@ -289,6 +289,7 @@
             clock: Clock::new(),
             responded: None,
             metrics: Some(metrics.clone()),
+            commit_sharing: None,
             placement: None,
         }
         .start()
--- a/routing/tests/placement/script.rs
+++ b/routing/tests/placement/script.rs
@@ -218,6 +218,7 @@
             clock: Clock::new(),
             responded: None,
             metrics: None,
+            commit_sharing: None,
             placement: Some(placement::Settings {
                 site_settle_time: hold_micros,
                 ..placement::Settings::new(names)
--- a/src/commands/platform.rs
+++ b/src/commands/platform.rs
@@ -7,14 +7,14 @@
 
 use super::Error;
 use crate::signals;
-use ::admin::AdminService;
+use ::admin::{AdminService, SharedCommits};
 use admin::AdminListener;
 use client_listener::{ClientListener, ClientServer, ServerCommand};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use discovery::Watch;
 use postgres::backend::Postgres;
 use postgres::front::Front;
-use routing::{Clock, EndpointsHandle, Metrics, RouterHandle};
+use routing::{Clock, CommitSharing, EndpointsHandle, Metrics, RouterHandle, SessionCommitSource, WallClock};
 use settings::Limits;
 use settings::operator::LogConfig;
 use settings::start::PlatformConfig;
@@ -120,6 +120,8 @@
     endpoints: EndpointsHandle,
     front: Arc<Front>,
     clients: Arc<ClientServer<Front>>,
+    /// Session commits that the processes of this router share; `None` if requests contain them.
+    commits: Option<Arc<SharedCommits>>,
     limits: Arc<Limits>,
 }
 
@@ -128,6 +130,12 @@
     fn start(start: &PlatformConfig, metrics: Option<Arc<Metrics>>) -> Result<Router, Error> {
         let limits = Arc::new(start.limits.clone());
         let clock = Clock::new();
+        // Only a router with an admin address has several processes.
+        let has_processes = start.admin_address.is_some();
+        let remembers_commits =
+            start.settings.session_commit_source == SessionCommitSource::RememberedByRouter;
+        let commits =
+            (has_processes && remembers_commits).then(|| Arc::new(SharedCommits::new(WallClock::new(clock))));
         let builder = routing::RouterBuilder {
             protocol: Postgres::new(limits.clone(), clock),
             settings: start.settings.clone(),
@@ -136,12 +144,13 @@
             clock,
             responded: None,
             metrics: metrics.clone(),
+            commit_sharing: commits.clone().map(|commits| commits as Arc<dyn CommitSharing>),
             placement: None,
         };
         let (handle, endpoints) = builder.start().map_err(Error::Core)?;
         let front = Front::new(handle.clone(), limits.clone(), &start.names.classes, &start.settings);
         let clients = ClientServer::new(front.clone(), limits.clone(), metrics);
-        Ok(Router { handle, endpoints, front, clients, limits })
+        Ok(Router { handle, endpoints, front, clients, commits, limits })
     }
 
     /// Serves clients until a shutdown command is received.
--- a/src/commands/platform/admin.rs
+++ b/src/commands/platform/admin.rs
@@ -53,6 +53,7 @@
                 handle.set_process_count(count);
                 front.set_process_count(count);
             }),
+            commits: router.commits.clone(),
             clock: Clock::new(),
             limits: router.limits.clone(),
         };
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -131,6 +131,7 @@
         clock: environment.clock,
         responded: responded.clone(),
         metrics: None,
+        commit_sharing: None,
         placement: placement.map(|_| placement::Settings::new(environment.mysql.class_names.clone())),
     };
     let (handle, endpoints) = builder.start().map_err(Error::Core)?;
