A process that shares session commits notices that its log was removed

Cause: a process that starts removes the logs of processes it does not find. If another one registers in that moment, its log may go too; the others then see that commits are missing, which is safe, but it was never written again.

Change: each count of processes checks that the own log still has its name, and writes a new one if not.

Measured: removed_log_means_missing_commits_until_there_is_a_new_one has a second half for it and passes; not run against the old code.

--- a/commit-exchange/src/exchange.rs
+++ b/commit-exchange/src/exchange.rs
@@ -125,6 +125,7 @@
             self.withdraw_log();
             return None;
         }
+        self.writer.take_if(|writer| !writer.is_published());
         let location = self.location.as_ref().filter(|_| self.writer.is_none())?;
         Some(location.log_path(&location.own_name))
     }
--- a/commit-exchange/src/log.rs
+++ b/commit-exchange/src/log.rs
@@ -12,8 +12,10 @@
 pub(crate) use writer::{LogWriter, PreparedLog};
 
 use decision::{GroupId, SessionId};
+use std::fs::File;
 use std::io;
-use std::path::PathBuf;
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
 use thiserror::Error;
 
 /// The commit of a session's write.
@@ -47,7 +49,12 @@
 }
 
 impl CommitLogError {
-    fn io(path: &std::path::Path) -> impl Fn(io::Error) -> CommitLogError + '_ {
+    fn io(path: &Path) -> impl Fn(io::Error) -> CommitLogError + '_ {
         |source| CommitLogError::Io { path: path.to_path_buf(), source }
     }
 }
+
+/// Returns whether an open file still has a name.
+fn is_linked(file: &File) -> bool {
+    file.metadata().is_ok_and(|metadata| metadata.nlink() > 0)
+}
--- a/commit-exchange/src/log/reader.rs
+++ b/commit-exchange/src/log/reader.rs
@@ -2,11 +2,11 @@
 use super::format::{
     CAPACITY, HEADER_BYTES, RECORD_BYTES, Record, decode_header, decode_record, record_offset,
 };
-use super::{CommitLogError, SharedCommit};
+use super::{CommitLogError, SharedCommit, is_linked};
 use crate::peers::ServedBefore;
 use std::fs::File;
 use std::io;
-use std::os::unix::fs::{FileExt, MetadataExt};
+use std::os::unix::fs::FileExt;
 use std::path::Path;
 
 /// Result of reading the records that were appended since the last read.
@@ -43,7 +43,7 @@
     /// Returns whether the process still publishes this log. A process that stops to publish commits removes its
     /// log first.
     pub(crate) fn is_published(&self) -> bool {
-        self.file.metadata().is_ok_and(|metadata| metadata.nlink() > 0)
+        is_linked(&self.file)
     }
 
     /// Appends the commits that were published since the last call to `commits`.
--- a/commit-exchange/src/log/writer.rs
+++ b/commit-exchange/src/log/writer.rs
@@ -1,6 +1,6 @@
 //! Writes the log of this process.
 use super::format::{FILE_BYTES, HEADER_BYTES, encode_header, encode_record, record_offset};
-use super::{CommitLogError, SharedCommit};
+use super::{CommitLogError, SharedCommit, is_linked};
 use crate::peers::ServedBefore;
 use std::fs::{File, OpenOptions};
 use std::os::unix::fs::{FileExt, OpenOptionsExt};
@@ -62,6 +62,11 @@
         Ok(())
     }
 
+    /// Returns whether other processes can find the log: nobody has removed its file.
+    pub(crate) fn is_published(&self) -> bool {
+        is_linked(&self.file)
+    }
+
     /// Removes the log: other processes notice that this one publishes no commits from now on.
     pub(crate) fn withdraw(self) {
         // If the removal fails, the file has been removed already.
--- a/commit-exchange/tests/exchange.rs
+++ b/commit-exchange/tests/exchange.rs
@@ -129,6 +129,11 @@
     assert!(new.receive().commits_missing);
     new.count(&["old", "new"], ServedBefore::Yes);
     assert!(new.receive().commits_missing);
+    old.count(&["old", "new"], ServedBefore::Yes);
+    new.count(&["old", "new"], ServedBefore::Yes);
+    assert!(new.receive().commits_missing, "commits from before the new log");
+    old.publish(2);
+    assert_eq!(new.receive(), received([2], false));
 }
 
 #[test]
