--- a/soak/src/class.rs
+++ b/soak/src/class.rs
@@ -22,7 +22,7 @@
 pub const REPEAT_WINDOW: Micros = 600_000;
 
 /// The maximum deadline of a write.
-const WRITE_DEADLINE: Micros = 2 * SECOND;
+const WRITE_DEADLINE: Micros = 3 * SECOND;
 /// The maximum deadline of a read.
 const READ_DEADLINE: Micros = 1_200_000;
 
--- a/soak/src/environment/clients/event_loop.rs
+++ b/soak/src/environment/clients/event_loop.rs
@@ -288,9 +288,13 @@
         };
         self.clients_by_token.insert(connection.token, client);
         self.clients[client].connection = Some(connection);
+        let faults = self.shared.faults();
+        if let Some(delay) = faults.first_request_delay {
+            self.clients[client].next_action_at = now + delay;
+            return;
+        }
         // Half of the clients send their first request together with the startup message.
         if self.rng.bool() {
-            let faults = self.shared.faults();
             self.add_request(client, faults);
             self.transfer(client);
         } else {
--- a/soak/src/environment/clients/requests.rs
+++ b/soak/src/environment/clients/requests.rs
@@ -50,7 +50,8 @@
     ) -> DrawnRequest {
         let class = DRAWN_CLASSES[rng.usize(..DRAWN_CLASSES.len())];
         let group = rng.usize(..groups);
-        let timeout = class.deadline() * rng.i64(50..=100) / 100;
+        let percent = if faults.first_request_delay.is_some() { 100 } else { rng.i64(50..=100) };
+        let timeout = class.deadline() * percent / 100;
         let required_commit = if class == Class::Session { last_commit(group) } else { None };
         let id = rng.u64(1..ID_BOUND);
         let disconnects = rng.u32(..PROBABILITY_SCALE) < faults.disconnect;
--- a/soak/src/environment/clients/settings.rs
+++ b/soak/src/environment/clients/settings.rs
@@ -29,6 +29,9 @@
     pub cancel: u32,
     /// The number of additional clients that connect at once, send one request and disconnect.
     pub flood: usize,
+    /// The delay between a client's connect and its first request. While it is set, requests have the longest
+    /// timeout of their class.
+    pub first_request_delay: Option<Micros>,
 }
 
 /// The denominator of the probabilities in [`ClientFaults`].
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -59,6 +59,9 @@
     ClientsPipeline,
     /// Many additional clients connect at once.
     ClientsFlood,
+    /// Clients that connect send their first request late, and wait for the longest time that its class allows.
+    /// Not drawn from seeds, only used by plans that list their faults.
+    ClientsHesitate,
     /// The wall clocks of all routers and servers are stepped, and restored at the end.
     ClockAll,
     /// The wall clock of one router is stepped, and restored at the end.
--- a/soak/src/platform/faults.rs
+++ b/soak/src/platform/faults.rs
@@ -37,6 +37,9 @@
 const PIPELINED_REQUESTS: usize = 4;
 /// The number of additional clients in a flood.
 const FLOOD_CLIENTS: usize = 80;
+/// The delay between a client's connect and its first request: almost as long as a router that shuts down waits for
+/// the first request of a new connection.
+const FIRST_REQUEST_DELAY: Micros = 285 * MILLISECOND;
 /// The probability, per thousand requests, that a client disconnects before the response.
 const DISCONNECT_PROBABILITY: u32 = 150;
 /// The probability, per thousand requests, that a client cancels the request.
@@ -110,6 +113,9 @@
                 self.change_clients(|clients| clients.pipelined = PIPELINED_REQUESTS);
             }
             FaultKind::ClientsFlood => self.change_clients(|clients| clients.flood = FLOOD_CLIENTS),
+            FaultKind::ClientsHesitate => {
+                self.change_clients(|clients| clients.first_request_delay = Some(FIRST_REQUEST_DELAY));
+            }
             FaultKind::ClockAll => self.step_all_clocks(fault.clock_step_seconds * SECOND)?,
             FaultKind::ClockOne => {
                 self.control(router).set_clock_offset(fault.clock_step_seconds * SECOND)?;
@@ -154,6 +160,7 @@
             FaultKind::ClientsStall => self.change_clients(|clients| clients.stall = 0),
             FaultKind::ClientsPipeline => self.change_clients(|clients| clients.pipelined = 0),
             FaultKind::ClientsFlood => self.change_clients(|clients| clients.flood = 0),
+            FaultKind::ClientsHesitate => self.change_clients(|clients| clients.first_request_delay = None),
             FaultKind::ClockAll => self.step_all_clocks(0)?,
             FaultKind::ClockOne => self.control(router).set_clock_offset(0)?,
             FaultKind::Syscalls | FaultKind::Threads | FaultKind::Disk => {
--- a/soak/tests/plans.rs
+++ b/soak/tests/plans.rs
@@ -25,7 +25,7 @@
 ];
 
 /// Every fault kind with its name in plans and on the command line.
-const KINDS: [(&str, FaultKind); 31] = [
+const KINDS: [(&str, FaultKind); 32] = [
     ("term", FaultKind::Term),
     ("kill", FaultKind::Kill),
     ("pause_short", FaultKind::PauseShort),
@@ -51,6 +51,7 @@
     ("clients_stall", FaultKind::ClientsStall),
     ("clients_pipeline", FaultKind::ClientsPipeline),
     ("clients_flood", FaultKind::ClientsFlood),
+    ("clients_hesitate", FaultKind::ClientsHesitate),
     ("clock_all", FaultKind::ClockAll),
     ("clock_one", FaultKind::ClockOne),
     ("syscalls", FaultKind::Syscalls),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -54,6 +54,13 @@
     assert_promise_kept("regressions/no_thread_for_a_client.toml", 1, Promise::Lost);
 }
 
+/// In an incident, clients that had connected just after SIGTERM sent their first request late, and the router
+/// exited before it had answered them.
+#[test]
+fn no_late_first_request_lost_in_shutdown() {
+    assert_promise_kept("regressions/late_first_request_in_shutdown.toml", 1, Promise::Lost);
+}
+
 /// A peek at a client's socket that failed with EINTR was taken for a disconnect, so pending requests lost
 /// their responses.
 #[test]
