An unreadable commit log no longer keeps the others from being opened

Cause: read on the diff: open_logs ended at the first log that cannot be read, so that with three processes a damaged log could keep a sound one closed; safe, but the primary got the reads of sessions. The log's bytes had no recording, though processes of different versions share them.

Change: the other logs are opened nevertheless; a test records the header and a record.

Measured: the package's 16 tests pass, log_matches_the_recorded_bytes among them; the opening beside a damaged log has no test of its own.

--- a/commit-exchange/src/exchange.rs
+++ b/commit-exchange/src/exchange.rs
@@ -159,13 +159,19 @@
 
     fn open_logs(&mut self) -> Result<(), CommitLogError> {
         let Some(location) = &self.location else { return Ok(()) };
+        let mut result = Ok(());
         for name in self.peers.unavailable() {
-            if let Some((reader, served_before)) = LogReader::open(&location.log_path(&name))? {
-                self.peers.log_opened(&name, served_before);
-                self.readers.insert(name, reader);
+            match LogReader::open(&location.log_path(&name)) {
+                Ok(Some((reader, served_before))) => {
+                    self.peers.log_opened(&name, served_before);
+                    self.readers.insert(name, reader);
+                }
+                Ok(None) => {}
+                // An unreadable log does not prevent that the others are opened.
+                Err(error) => result = result.and(Err(error)),
             }
         }
-        Ok(())
+        result
     }
 
     /// Reads the rest of an ended process's log, and removes the file.
--- a/commit-exchange/tests/exchange.rs
+++ b/commit-exchange/tests/exchange.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 use tempfile::TempDir;
 
+/// The first bytes of a log: the header of a process that had served clients before, and one record.
+const RECORDED_LOG: &str = "6476636f6d6d6974010000000100000000100000ce2ad0ae0100000000000000070000000000000007401e18240a06000300000024f28ef1";
 /// More records than a log holds.
 const MORE_THAN_A_LOG: u64 = 5000;
 
@@ -189,3 +191,14 @@
     third.publish(3);
     assert_eq!(new.receive(), received([1, 3], false));
 }
+
+/// Processes of different versions share the logs, so that their bytes must not change.
+#[test]
+fn log_matches_the_recorded_bytes() {
+    let folder = tempfile::tempdir().unwrap();
+    let (old, _new) = connected_pair(&folder);
+    old.publish(7);
+    let bytes = std::fs::read(folder.path().join("damsonvale-commits-old")).unwrap();
+    let hex: String = bytes[..56].iter().map(|byte| format!("{byte:02x}")).collect();
+    assert_eq!((hex.as_str(), bytes.len()), (RECORDED_LOG, 24 + 4096 * 32));
+}
