--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -117,8 +118,11 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process receives when the thread that started it ends.
+const SET_SIGNAL_OF_PARENT_DEATH: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 
@@ -145,7 +149,15 @@
         let program = program();
         let log = File::create(log).map_err(|error| error.to_string())?;
         let log_2 = log.try_clone().map_err(|error| error.to_string())?;
-        let child = Command::new(&program)
+        let mut command = Command::new(&program);
+        // A case that is stopped leaves no process behind.
+        let end_with_case = || match unsafe { prctl(SET_SIGNAL_OF_PARENT_DEATH, SIGKILL as u64) } {
+            0 => Ok(()),
+            _ => Err(io::Error::last_os_error()),
+        };
+        // SAFETY: the call between fork and exec is a system call that uses no memory of the program.
+        unsafe { command.pre_exec(end_with_case) };
+        let child = command
             .args(arguments)
             .envs(environment.iter().copied())
             .stdin(Stdio::null())
