--- a/multiprocess/src/servers/server_thread.rs
+++ b/multiprocess/src/servers/server_thread.rs
@@ -12,7 +12,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use test_servers::wire::{
-    COMMAND_QUERY, COMMAND_QUIT, ERROR_READ_ONLY, ERROR_SYNTAX, OK, error, greeting, packets, row,
+    COMMAND_QUERY, COMMAND_QUIT, ERROR_READ_ONLY, ERROR_SYNTAX, OK, SET_DEFAULTS, error, greeting, packets,
+    row,
 };
 
 /// Token of the listener; the tokens of connections start at [`FIRST_CONNECTION`].
@@ -151,6 +152,9 @@
         if sql.starts_with("SELECT probe") {
             return connection.write_buffer.extend(self.probe_response());
         }
+        if sql == SET_DEFAULTS {
+            return connection.write_buffer.extend(packets(COMMAND_RESPONSE_SEQUENCE_ID, &[OK]));
+        }
         let write = !sql.starts_with("SELECT");
         let Some(id) = sql.split('\'').nth(1).and_then(|id| id.parse().ok()) else {
             return connection.write_buffer.extend(error(ERROR_SYNTAX, "not known here"));
--- a/mysql/src/backend.rs
+++ b/mysql/src/backend.rs
@@ -1,8 +1,10 @@
-//! Connections to servers. A connection is reused and runs one command at a time. A statement is prepared on
-//! a connection when it is first executed there.
+//! Connections to servers. A connection is shared by all clients and runs one command at a time. Between the
+//! commands of two requests its session is reset (see `session_reset`), so that no request meets what an
+//! earlier one left in the session. A statement is prepared on the connection that executes it.
 mod connection;
 mod probe;
 mod server_response;
+mod session_reset;
 mod statement_cache;
 
 pub use connection::MysqlConnection;
@@ -59,7 +61,7 @@
         let deadline = Instant::now() + self.limits.backend_connect_timeout;
         let handshake = Handshake::connect(permit, addr, &self.limits)?;
         let mut reader = PacketReader::new(self.limits.max_response_bytes);
-        login(&handshake, &mut reader, &self.credentials, deadline)
+        open_session(&handshake, &mut reader, &self.credentials, deadline)
             .map_err(|error| login_outcome(addr, &error))?;
         let context = ConnectionContext {
             settings: self.settings.clone(),
@@ -73,6 +75,18 @@
     }
 }
 
+/// Logs in, and gives the new session the settings that every client expects.
+fn open_session(
+    handshake: &Handshake,
+    reader: &mut PacketReader,
+    credentials: &Credentials,
+    deadline: Instant,
+) -> Result<(), LoginError> {
+    let status = login(handshake, reader, credentials, deadline)?;
+    // The settings of a server may start each session with an open transaction.
+    if status.is_autocommit() { Ok(()) } else { session_reset::apply_defaults(handshake, reader, deadline) }
+}
+
 fn login_outcome(addr: SocketAddr, error: &LoginError) -> Outcome {
     if let LoginError::Server(number) = error
         && errors::server_error_meaning(*number) == ServerErrorMeaning::Outcome(Outcome::Rejected)
@@ -92,6 +106,10 @@
         self.is_usable_after(idle)
     }
 
+    fn release(&mut self, permit: ConnectionPermit) -> bool {
+        self.reset_session(permit)
+    }
+
     fn execute(
         &mut self,
         exchange: Exchange<'_, Mysql>,
--- a/mysql/src/backend/connection.rs
+++ b/mysql/src/backend/connection.rs
@@ -1,9 +1,11 @@
 //! An authenticated connection to one server: sends commands and reads their responses.
 use super::probe::ProbeRow;
 use super::server_response::{
-    PrepareOk, PrepareOutcome, ResponseError, SentCommand, ServerResult, error_result, is_atomic,
-    is_unknown_statement, reusable_result, unknown_statement_result,
+    PrepareOk, PrepareOutcome, ResponseError, SentCommand, ServerResponse, ServerResult, error_result,
+    is_atomic, is_error, is_unknown_statement, open_transaction_result, reusable_result,
+    unknown_statement_result,
 };
+use super::session_reset::{self, SessionState};
 use super::statement_cache::{ServerStatementId, StatementCache};
 use crate::command;
 use crate::errors;
@@ -11,7 +13,8 @@
 use crate::request::{LongParameters, ResponsePayloads};
 use crate::results::ResponseState;
 use routing::{
-    AttemptGuard, Clock, ExchangeResult, MemberReport, NotSent, Outcome, ServerSocket, Time, WritePermit,
+    AttemptGuard, Clock, ConnectionPermit, ExchangeResult, MemberReport, NotSent, Outcome, ServerSocket,
+    Time, WritePermit,
 };
 use sessions::clocks::{ClockOffset, ServerClocks};
 use settings::Limits;
@@ -37,7 +40,9 @@
     /// Deadline of the current exchange. It also ends an exchange whose response arrives too slowly.
     deadline: Instant,
     context: ConnectionContext,
+    /// Statements that are prepared in the session.
     statements: StatementCache,
+    session: SessionState,
 }
 
 impl MysqlConnection {
@@ -47,15 +52,41 @@
         deadline: Instant,
         context: ConnectionContext,
     ) -> MysqlConnection {
-        MysqlConnection { socket, reader, deadline, context, statements: StatementCache::default() }
+        let (statements, session) = (StatementCache::default(), SessionState::Clean);
+        MysqlConnection { socket, reader, deadline, context, statements, session }
     }
 
     pub(super) fn server_socket(&self) -> ServerSocket {
         self.socket.clone()
     }
 
-    pub(super) fn is_usable_after(&self, idle: Duration) -> bool {
-        idle < self.context.limits.max_unchecked_idle_time && self.is_open_and_idle()
+    pub(super) fn is_usable_after(&mut self, idle: Duration) -> bool {
+        idle < self.context.limits.max_unchecked_idle_time && self.finish_reset() && self.is_open_and_idle()
+    }
+
+    /// Resets the session unless no request has used it. The responses are read before the next request, so
+    /// that the reset delays no response. Returns `false` if the connection has to be closed.
+    pub(super) fn reset_session(&mut self, permit: ConnectionPermit) -> bool {
+        if self.session != SessionState::Used {
+            return true;
+        }
+        // The reset discards the statements that were prepared in the session.
+        self.statements = StatementCache::default();
+        self.session = SessionState::Resetting;
+        session_reset::send(&self.socket, permit).is_ok()
+    }
+
+    /// Reads the responses to a reset that was sent. Returns whether the session is clean.
+    fn finish_reset(&mut self) -> bool {
+        if self.session == SessionState::Resetting {
+            let deadline = Instant::now() + self.context.limits.backend_check_timeout;
+            if let Err(error) = session_reset::confirm(&self.socket, &mut self.reader, deadline) {
+                session_reset::log_failure(self.context.addr, &error);
+                return false;
+            }
+            self.session = SessionState::Clean;
+        }
+        self.session == SessionState::Clean
     }
 
     /// Returns whether the connection is open and has no unsolicited data to read.
@@ -63,8 +94,10 @@
         self.reader.is_empty() && self.socket.is_idle_and_open()
     }
 
-    /// Sets the deadline of an exchange whose client waits until `deadline`.
+    /// Sets the deadline of an exchange whose client waits until `deadline`. From here on the request may leave
+    /// anything in the session: settings, locks, a transaction, temporary tables, its last insert ID.
     pub(super) fn begin_attempt(&mut self, deadline: Instant) {
+        self.session = SessionState::Used;
         let now = Instant::now();
         self.deadline =
             now + deadline.saturating_duration_since(now) + self.context.limits.abandoned_response_timeout;
@@ -98,7 +131,7 @@
         let permit = guard.permit_write().map_err(|_| NotSent::Cancelled)?;
         match self.prepare(text, &permit) {
             Ok(PrepareOutcome::Ready { response, .. } | PrepareOutcome::Error(response)) => {
-                Ok(self.exchange_result(SentCommand::Prepare, Ok(response)))
+                Ok(self.exchange_result(SentCommand::Prepare, Ok(ServerResponse::without_status(response))))
             }
             // Preparing a statement does not run it, so if the server fails the request can be sent to
             // another server.
@@ -125,6 +158,7 @@
                 None => match self.prepare_for_execution(text, guard)? {
                     PrepareOutcome::Ready { id, .. } => id,
                     PrepareOutcome::Error(response) => {
+                        let response = ServerResponse::without_status(response);
                         return Ok(self.exchange_result(SentCommand::Prepare, Ok(response)));
                     }
                 },
@@ -233,9 +267,9 @@
     }
 
     /// Reads a complete response.
-    fn read_response(&mut self) -> Result<ResponsePayloads, ResponseError> {
+    fn read_response(&mut self) -> Result<ServerResponse, ResponseError> {
         let mut state = ResponseState::Start;
-        let mut response = Vec::new();
+        let mut payloads = Vec::new();
         let (mut bytes, mut expected_sequence) = (0, 1);
         loop {
             let packet = self.reader.read_packet(self.socket.reader(self.deadline))?;
@@ -249,9 +283,10 @@
             if bytes > self.context.limits.max_response_bytes {
                 return Err(ResponseError::TooLarge);
             }
-            response.push(packet.payload);
+            payloads.push(packet.payload);
             match state {
-                ResponseState::Done | ResponseState::Failed => return Ok(response),
+                ResponseState::Done(status) => return Ok(ServerResponse { payloads, status: Some(status) }),
+                ResponseState::Failed => return Ok(ServerResponse { payloads, status: None }),
                 ResponseState::Malformed => return Err(ResponseError::Failed(Outcome::Error)),
                 ResponseState::Start | ResponseState::Columns(_) | ResponseState::Rows => {}
             }
@@ -263,7 +298,7 @@
     fn exchange_result(
         &self,
         command: SentCommand<'_>,
-        response: Result<ResponsePayloads, ResponseError>,
+        response: Result<ServerResponse, ResponseError>,
     ) -> ServerResult {
         match response {
             Err(ResponseError::Failed(outcome)) => ExchangeResult::from_outcome(outcome),
@@ -273,7 +308,15 @@
                 let response = vec![errors::encode(errors::TOO_LARGE, &text)];
                 ExchangeResult { response: Some(response), ..ExchangeResult::from_outcome(Outcome::Ok) }
             }
-            Ok(response) => error_result(command, &response).unwrap_or_else(|| self.served(response)),
+            Ok(response) if response.leaves_transaction_open() => open_transaction_result(),
+            Ok(ServerResponse { payloads, .. }) => {
+                let result = error_result(command, &payloads);
+                // The transaction of a procedure that failed may be open, and is rolled back at once when the
+                // connection is closed.
+                let reusable = command.is_atomic() || !is_error(&payloads);
+                let result = result.unwrap_or_else(|| self.served(payloads));
+                ExchangeResult { reusable: result.reusable && reusable, ..result }
+            }
         }
     }
 
@@ -289,7 +332,10 @@
     /// Reads the response to a probe that was sent at `sent_at`.
     fn read_probe(&mut self, sent_at: Time) -> ServerResult {
         let response = match self.read_response() {
-            Ok(response) if errors::error_number(&response[0]).is_none() && response.len() >= 2 => response,
+            Ok(response) if response.leaves_transaction_open() => {
+                return ExchangeResult::from_outcome(Outcome::Error);
+            }
+            Ok(ServerResponse { payloads, .. }) if !is_error(&payloads) && payloads.len() >= 2 => payloads,
             Ok(_) => return reusable_result(Outcome::Error),
             Err(ResponseError::Failed(outcome)) => return ExchangeResult::from_outcome(outcome),
             Err(ResponseError::TooLarge) => return ExchangeResult::from_outcome(Outcome::Error),
--- a/mysql/src/backend/server_response.rs
+++ b/mysql/src/backend/server_response.rs
@@ -4,6 +4,7 @@
 use crate::fields::FieldReader;
 use crate::packet::ReadError;
 use crate::request::ResponsePayloads;
+use crate::results::SessionStatus;
 use crate::statement::scan;
 use routing::{ExchangeResult, MemberReport, Outcome};
 use std::io;
@@ -34,6 +35,25 @@
     }
 }
 
+/// A complete response to a command.
+pub(super) struct ServerResponse {
+    pub(super) payloads: ResponsePayloads,
+    /// State in which the command left the session; `None` if the response does not report it, as an error does
+    /// not.
+    pub(super) status: Option<SessionStatus>,
+}
+
+impl ServerResponse {
+    pub(super) fn without_status(payloads: ResponsePayloads) -> ServerResponse {
+        ServerResponse { payloads, status: None }
+    }
+
+    /// Returns whether the server reports that the command left a transaction open.
+    pub(super) fn leaves_transaction_open(&self) -> bool {
+        self.status.is_some_and(SessionStatus::in_transaction)
+    }
+}
+
 /// Outcome of preparing a statement on a server.
 pub(super) enum PrepareOutcome {
     /// The server prepared the statement under this ID. The response describes the statement's parameters and
@@ -78,13 +98,21 @@
 }
 
 impl SentCommand<'_> {
+    /// Returns whether the server runs the command as a whole.
+    pub(super) fn is_atomic(self) -> bool {
+        match self {
+            SentCommand::Prepare => true,
+            SentCommand::Execute(text) => is_atomic(text),
+        }
+    }
+
     /// Returns whether an error that a server sends for a statement it has not begun proves that nothing of this
     /// command ran. The error may also come from a later statement of a stored procedure, after the earlier
     /// ones have taken effect. A result before the error shows that; without one, both cases look the same.
     fn nothing_ran(self, response: &ResponsePayloads) -> bool {
         match self {
             SentCommand::Prepare => true,
-            SentCommand::Execute(text) => response.len() == 1 && is_atomic(text),
+            SentCommand::Execute(_) => response.len() == 1 && self.is_atomic(),
         }
     }
 }
@@ -94,6 +122,20 @@
     std::str::from_utf8(text).is_ok_and(|text| scan(text).is_atomic())
 }
 
+/// Returns whether a response ends with an error.
+pub(super) fn is_error(response: &ResponsePayloads) -> bool {
+    response.last().is_some_and(|payload| errors::error_number(payload).is_some())
+}
+
+/// Returns the result of a command that left a transaction open. The connection is closed, so that the server
+/// rolls the transaction back: a success that the client were told of would be lost.
+pub(super) fn open_transaction_result() -> ServerResult {
+    let text =
+        "the statement left a transaction open, which is not carried: what it did not commit is undone";
+    let response = vec![errors::encode(errors::ERROR, text)];
+    ExchangeResult { response: Some(response), ..ExchangeResult::from_outcome(Outcome::Ok) }
+}
+
 /// Returns the result of an exchange whose response ends with an error that is not the statement's own; `None`
 /// for any other response, which is forwarded to the client.
 pub(super) fn error_result(command: SentCommand<'_>, response: &ResponsePayloads) -> Option<ServerResult> {
@@ -109,9 +151,9 @@
 }
 
 /// Returns whether the response to an execution says that the server does not know the prepared statement.
-pub(super) fn is_unknown_statement(response: &Result<ResponsePayloads, ResponseError>) -> bool {
+pub(super) fn is_unknown_statement(response: &Result<ServerResponse, ResponseError>) -> bool {
     let Ok(response) = response else { return false };
-    let number = errors::error_number(&response[0]);
+    let number = errors::error_number(&response.payloads[0]);
     number.is_some_and(|number| errors::server_error_meaning(number) == ServerErrorMeaning::UnknownStatement)
 }
 
--- a/mysql/src/cursor.rs
+++ b/mysql/src/cursor.rs
@@ -59,5 +59,5 @@
             first_row_index = Some(index + 1);
         }
     }
-    first_row_index.filter(|_| state == ResponseState::Done)
+    first_row_index.filter(|_| matches!(state, ResponseState::Done(_)))
 }
--- a/mysql/src/handshake.rs
+++ b/mysql/src/handshake.rs
@@ -77,6 +77,8 @@
 pub struct HandshakeResponse {
     /// Capability flags of the client.
     pub capabilities: u32,
+    /// Collation ID, which determines the character set of the client's texts.
+    pub collation: u8,
     /// Name of the user that logs in.
     pub user: String,
     /// Authentication response, which the plugin computed from the password and the nonce.
@@ -96,7 +98,8 @@
         if !has(capability::PROTOCOL_41) {
             return None;
         }
-        let _max_payload_and_charset = fields.bytes(4 + 1)?;
+        let _max_payload = fields.bytes(4)?;
+        let collation = fields.integer(1)? as u8;
         fields.bytes(RESPONSE_FILLER_BYTES)?;
         let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
         let user = text(fields.null_terminated()?);
@@ -117,14 +120,14 @@
         } else {
             NATIVE_PASSWORD.into()
         };
-        Some(HandshakeResponse { capabilities, user, auth_response, database, plugin })
+        Some(HandshakeResponse { capabilities, collation, user, auth_response, database, plugin })
     }
 
     /// Encodes the handshake response that the router sends to a server.
     pub fn encode(&self) -> Vec<u8> {
         let mut response = self.capabilities.to_le_bytes().to_vec();
         response.extend_from_slice(&MAX_PAYLOAD_BYTES.to_le_bytes());
-        response.push(UTF8MB4_GENERAL_CI);
+        response.push(self.collation);
         response.extend_from_slice(&[0; RESPONSE_FILLER_BYTES]);
         response.extend_from_slice(self.user.as_bytes());
         response.push(0);
--- a/mysql/src/login.rs
+++ b/mysql/src/login.rs
@@ -6,14 +6,14 @@
 use crate::fields::FieldReader;
 use crate::handshake::{Greeting, HandshakeResponse};
 use crate::packet::{Packet, PacketReader, ReadError, push_packets, write_packets};
+use crate::protocol::UTF8MB4_GENERAL_CI;
+use crate::results::SessionStatus;
 use routing::Handshake;
 use routing::socket::DeadlineReader;
 use std::io::{self, IoSlice};
 use std::net::TcpStream;
 use std::time::Instant;
 
-/// The first byte of an OK payload.
-const OK: u8 = 0;
 /// First byte of a packet with further data for the authentication plugin.
 const MORE_AUTH_DATA: u8 = 1;
 /// First byte of a request to switch to another authentication plugin.
@@ -57,6 +57,9 @@
     /// user. Either a client has to log in once over TLS, or the user needs `mysql_native_password`.
     #[error("server requires the password itself, which is not sent over an unencrypted connection")]
     FullAuthenticationRequired,
+    /// The server did not confirm the settings that each session needs.
+    #[error("server did not confirm autocommit mode for the session")]
+    SettingsNotConfirmed,
     /// The server's response to the login is malformed.
     #[error("server's response to the login is malformed")]
     MalformedResponse,
@@ -97,7 +100,7 @@
     }
 }
 
-/// Logs in to a server.
+/// Logs in to a server. Returns the state of the new session.
 ///
 /// # Errors
 /// The server rejected the login, did not respond before the deadline, or requires an unsupported protocol or
@@ -107,7 +110,7 @@
     reader: &mut PacketReader,
     credentials: &Credentials,
     deadline: Instant,
-) -> Result<(), LoginError> {
+) -> Result<SessionStatus, LoginError> {
     let mut login = Login { socket, reader, credentials, deadline };
     login.respond_to_greeting()?;
     login.complete_authentication()
@@ -132,6 +135,7 @@
         let plugin = if greeting.plugin == NATIVE_PASSWORD { NATIVE_PASSWORD } else { CACHING_SHA2_PASSWORD };
         let response = HandshakeResponse {
             capabilities: capability::USED_WITH_SERVERS,
+            collation: UTF8MB4_GENERAL_CI,
             user: self.credentials.user.clone(),
             auth_response: self.auth_response(plugin, &greeting.nonce)?,
             database: Some(self.credentials.database.clone()),
@@ -141,11 +145,13 @@
     }
 
     /// Responds to the server's authentication requests until the server sends OK.
-    fn complete_authentication(&mut self) -> Result<(), LoginError> {
+    fn complete_authentication(&mut self) -> Result<SessionStatus, LoginError> {
         loop {
             let packet = self.read_packet()?;
+            if let Some(status) = SessionStatus::from_ok(&packet.payload) {
+                return Ok(status);
+            }
             match *packet.payload {
-                [OK, ..] => return Ok(()),
                 [AUTH_SWITCH, ref request @ ..] => {
                     let mut fields = FieldReader::new(request);
                     let plugin = fields.null_terminated().and_then(|name| std::str::from_utf8(name).ok());
--- a/mysql/src/results.rs
+++ b/mysql/src/results.rs
@@ -4,6 +4,8 @@
 use crate::packet::push_packets;
 use crate::protocol::UTF8MB4_GENERAL_CI;
 
+/// Status flag: a transaction is open.
+pub const IN_TRANSACTION: u16 = 1;
 /// Status flag: the session is in autocommit mode.
 pub const AUTOCOMMIT: u16 = 2;
 /// Status flag: another result follows.
@@ -13,6 +15,9 @@
 /// Status flag: all rows of the cursor have been fetched.
 pub const LAST_ROW_SENT: u16 = 128;
 
+/// First byte of an OK payload.
+const OK_HEADER: u8 = 0;
+
 /// Payload of an OK packet in which only the autocommit status flag is set.
 pub const OK: &[u8] = &[0, 0, 0, AUTOCOMMIT as u8, 0, 0, 0];
 
@@ -30,11 +35,33 @@
     }
 }
 
-fn ok_status(payload: &[u8]) -> Option<u16> {
-    let mut fields = FieldReader::new(payload.get(1..)?);
-    let _affected_rows = fields.length_encoded_integer()?;
-    let _last_insert_id = fields.length_encoded_integer()?;
-    fields.integer(2).map(|status| status as u16)
+/// State of a session as its server reports it in the status flags of an OK or EOF payload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SessionStatus(u16);
+
+impl SessionStatus {
+    /// Returns the status in an OK payload, and `None` for any other payload.
+    pub fn from_ok(payload: &[u8]) -> Option<SessionStatus> {
+        let fields = payload.strip_prefix(&[OK_HEADER])?;
+        let mut fields = FieldReader::new(fields);
+        let _affected_rows = fields.length_encoded_integer()?;
+        let _last_insert_id = fields.length_encoded_integer()?;
+        fields.integer(2).map(|status| SessionStatus(status as u16))
+    }
+
+    /// Returns whether a transaction is open.
+    pub fn in_transaction(self) -> bool {
+        self.0 & IN_TRANSACTION != 0
+    }
+
+    /// Returns whether the server commits each statement by itself.
+    pub fn is_autocommit(self) -> bool {
+        self.0 & AUTOCOMMIT != 0
+    }
+
+    fn has_more_results(self) -> bool {
+        self.0 & MORE_RESULTS != 0
+    }
 }
 
 /// State of a response that is read payload by payload.
@@ -46,8 +73,8 @@
     Columns(u64),
     /// The next payload is a row or the EOF after the rows.
     Rows,
-    /// The response is complete.
-    Done,
+    /// The response is complete, and leaves the session in this state.
+    Done(SessionStatus),
     /// The response ended with an error.
     Failed,
     /// The response is malformed or not supported.
@@ -59,7 +86,9 @@
     pub fn advance(&mut self, payload: &[u8]) {
         *self = match (&*self, payload) {
             (ResponseState::Start | ResponseState::Rows, [0xff, _, _, ..]) => ResponseState::Failed,
-            (ResponseState::Start, [0, ..]) => ResponseState::after_result(ok_status(payload)),
+            (ResponseState::Start, [OK_HEADER, ..]) => {
+                ResponseState::after_result(SessionStatus::from_ok(payload))
+            }
             // The server requests a local file for `LOAD DATA LOCAL INFILE`, which the router does not
             // support.
             (ResponseState::Start, [0xfb, ..]) => ResponseState::Malformed,
@@ -73,20 +102,20 @@
             },
             (ResponseState::Columns(remaining), _) => ResponseState::Columns(remaining - 1),
             (ResponseState::Rows, _) => match eof_status(payload) {
-                Some(status) => ResponseState::after_result(Some(status)),
+                Some(status) => ResponseState::after_result(Some(SessionStatus(status))),
                 None => ResponseState::Rows,
             },
-            (ResponseState::Done | ResponseState::Failed | ResponseState::Malformed, _) => {
+            (ResponseState::Done(_) | ResponseState::Failed | ResponseState::Malformed, _) => {
                 ResponseState::Malformed
             }
         };
     }
 
     /// Returns the state after a result with these status flags.
-    fn after_result(status: Option<u16>) -> ResponseState {
+    fn after_result(status: Option<SessionStatus>) -> ResponseState {
         match status {
-            Some(status) if status & MORE_RESULTS != 0 => ResponseState::Start,
-            Some(_) => ResponseState::Done,
+            Some(status) if status.has_more_results() => ResponseState::Start,
+            Some(status) => ResponseState::Done(status),
             None => ResponseState::Malformed,
         }
     }
--- a/mysql/tests/encoded_messages.rs
+++ b/mysql/tests/encoded_messages.rs
@@ -4,6 +4,7 @@
 use mysql_wire::fields::push_length_encoded_integer;
 use mysql_wire::handshake::{HandshakeResponse, encode_greeting};
 use mysql_wire::packet::push_packets;
+use mysql_wire::protocol::UTF8MB4_GENERAL_CI;
 use mysql_wire::results::{AUTOCOMMIT, NamedValue, OK, encode_eof, encode_single_row};
 use mysql_wire::{auth, capability, errors};
 use routing::{FinalResponse, Outcome};
@@ -29,6 +30,7 @@
         messages.add(&format!("proof by {plugin}"), &auth_response);
         let response = HandshakeResponse {
             capabilities: capability::USED_WITH_SERVERS,
+            collation: UTF8MB4_GENERAL_CI,
             user: "till".into(),
             auth_response,
             database: Some("stock".into()),
--- a/pcap/src/conversation.rs
+++ b/pcap/src/conversation.rs
@@ -226,7 +226,7 @@
             let payload = &packet.payload;
             state.advance(payload);
             match state {
-                ResponseState::Done => return Outcome::Succeeded,
+                ResponseState::Done(_) => return Outcome::Succeeded,
                 ResponseState::Failed => return Outcome::Error(errors::error_number(payload).unwrap_or(0)),
                 ResponseState::Malformed => return Outcome::Incomplete,
                 // If a cursor is opened, the response ends after the column definitions. The rows are fetched
--- a/pcap/src/replay.rs
+++ b/pcap/src/replay.rs
@@ -219,7 +219,7 @@
             let payload = self.read_payload()?;
             state.advance(&payload);
             match state {
-                ResponseState::Done => return Ok(ReplayResult::Succeeded),
+                ResponseState::Done(_) => return Ok(ReplayResult::Succeeded),
                 ResponseState::Failed => {
                     let number = errors::error_number(&payload);
                     return Ok(number.map_or(ReplayResult::Succeeded, ReplayResult::Error));
--- a/postgres/src/backend.rs
+++ b/postgres/src/backend.rs
@@ -100,6 +100,12 @@
             && (idle < self.limits.max_unchecked_idle_time || self.responds_to_empty_query(permit))
     }
 
+    /// A response counts as reusable only if it ends with a `ReadyForQuery` that reports no open transaction.
+    /// The platform's protocol has no other session state: the router answers `SET`, `RESET` and `DISCARD`.
+    fn release(&mut self, _permit: ConnectionPermit) -> bool {
+        true
+    }
+
     fn execute(
         &mut self,
         exchange: Exchange<'_, Postgres>,
--- a/routing/src/backends/exchange.rs
+++ b/routing/src/backends/exchange.rs
@@ -3,10 +3,10 @@
 use crate::attempt_id::AttemptId;
 use crate::idle_connection::IdleConnection;
 use crate::messages::{AddressedCommand, BackendCommand, BackendId, BackendSender, RouterMessage};
-use crate::permit::EndpointState;
-use crate::permit::{AttemptGuard, ConnectionPermit, Verdict};
+use crate::permit::{AttemptGuard, ConnectionPermit, EndpointState, Verdict};
 use crate::protocol::{BackendProtocol, Connection, Exchange, ExchangeResult, NotSent};
 use crate::reasons::outcome_name;
+use crate::released_connection::ReleasedConnection;
 use decision::{MemberId, Outcome};
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -66,19 +66,25 @@
     guard: &AttemptGuard,
     idle: IdleConnection<P>,
 ) {
-    let IdleConnection { mut connection, since: last_response, slot } = idle;
+    let IdleConnection { connection, since: last_response, slot } = idle;
+    let mut connection = connection.map(ReleasedConnection::into_inner);
     if connection.is_some() {
         wait_for_reuse_delay(context.resources.limits.backend_reuse_delay, last_response);
     }
     // A panic in the protocol implementation must not prevent the task from ending or the connection slot
     // from being released.
-    let executed =
-        catch_unwind(AssertUnwindSafe(|| execute(context, &mut connection, last_response, &task, guard)));
-    let result = executed.unwrap_or_else(|_| ExchangeResult::from_outcome(Outcome::Reset));
+    let executed = catch_unwind(AssertUnwindSafe(|| {
+        let result = execute(context, &mut connection, last_response, &task, guard);
+        let released = connection
+            .filter(|_| result.reusable)
+            .and_then(|connection| ReleasedConnection::release(connection, &context.state));
+        (result, released)
+    }));
+    let (result, released) =
+        executed.unwrap_or_else(|_| (ExchangeResult::from_outcome(Outcome::Reset), None));
     // The endpoint measures idle time from its last response, so a task that sent nothing does not reset it.
     let since = if result.outcome == Outcome::NeverSent { last_response } else { Instant::now() };
-    let is_reusable = connection.is_some() && result.reusable;
-    let connection = is_reusable.then_some(IdleConnection { connection, since, slot });
+    let connection = released.map(|connection| IdleConnection { connection: Some(connection), since, slot });
     // The backend is notified before the router actor, so that the next attempt finds this connection idle.
     let command = BackendCommand::ExchangeEnded { connection };
     _ = context.backends.send(AddressedCommand { backend: context.id, command });
--- a/routing/src/idle_connection.rs
+++ b/routing/src/idle_connection.rs
@@ -1,5 +1,6 @@
 //! Idle connections, and the count of all connections that the connection limit applies to.
 use crate::protocol::BackendProtocol;
+use crate::released_connection::ReleasedConnection;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -7,7 +8,7 @@
 /// A connection that is not running an exchange and therefore has no thread.
 pub(crate) struct IdleConnection<P: BackendProtocol> {
     /// The connection; `None` if it has not been opened yet.
-    pub(crate) connection: Option<P::Connection>,
+    pub(crate) connection: Option<ReleasedConnection<P>>,
     /// Time of the last response on the connection.
     pub(crate) since: Instant,
     /// Slot of the connection in the total count.
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod probe_spacing;
 pub mod protocol;
 pub mod reasons;
+pub mod released_connection;
 mod request;
 mod responded_endpoints;
 mod router;
--- a/routing/src/permit.rs
+++ b/routing/src/permit.rs
@@ -13,6 +13,8 @@
 //! - [`RepeatState`] permits or denies a retry, depending on whether earlier attempts may have run;
 //! - [`CommandGate`] determines whether a client's command is accepted and whether the connection may be
 //!   closed;
+//! - [`ReleasedConnection`](crate::released_connection::ReleasedConnection) is the only form in which a server connection waits for its next request: its
+//!   session has been reset or is known to be clean;
 //! - [`ResponseSlot`] sends one final response, after which it is closed.
 //!
 //! [`crate::observer`] checks the same invariants independently, from the recorded transitions of requests.
--- a/routing/src/protocol.rs
+++ b/routing/src/protocol.rs
@@ -71,6 +71,13 @@
     /// idle time the protocol either verifies it with a round trip, using the permit, or returns `false`.
     fn is_usable(&mut self, idle_for: Duration, permit: ConnectionPermit) -> bool;
 
+    /// Prepares the connection for the request of another client, after an exchange whose result is reusable:
+    /// nothing that a request left in the endpoint's session may reach the next request. Called only by
+    /// [`crate::released_connection::ReleasedConnection::release`], right after each exchange. Must not wait for the endpoint.
+    ///
+    /// Returns `false` if the state of the session is unknown. The connection is closed then.
+    fn release(&mut self, permit: ConnectionPermit) -> bool;
+
     /// Runs an exchange with the endpoint to its end. [`AttemptGuard::permit_write`] must be called
     /// immediately before the first byte, including the first byte of a preparatory message and of anything
     /// written after a response. Writing the last byte of the request consumes the permit.
--- a/routing/tests/handover/script.rs
+++ b/routing/tests/handover/script.rs
@@ -162,6 +162,10 @@
         })
     }
 
+    fn release(&mut self, _: ConnectionPermit) -> bool {
+        true
+    }
+
     fn execute(
         &mut self,
         exchange: Exchange<'_, ScriptedProtocol>,
--- a/routing/tests/placement/script.rs
+++ b/routing/tests/placement/script.rs
@@ -102,6 +102,10 @@
         false
     }
 
+    fn release(&mut self, _: ConnectionPermit) -> bool {
+        true
+    }
+
     fn execute(
         &mut self,
         exchange: Exchange<'_, ScriptedProtocol>,
--- a/test-servers/src/replication_group/connection.rs
+++ b/test-servers/src/replication_group/connection.rs
@@ -2,7 +2,8 @@
 use super::clock::unix_micros;
 use super::shared::Shared;
 use crate::wire::{
-    COMMAND_QUERY, COMMAND_QUIT, ERROR_READ_ONLY, ERROR_SYNTAX, OK, error, greet, packets, read, row,
+    COMMAND_QUERY, COMMAND_QUIT, ERROR_READ_ONLY, ERROR_SYNTAX, OK, SET_DEFAULTS, error, greet, packets,
+    read, row,
 };
 use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
@@ -37,6 +38,9 @@
     if sql == "SELECT probe" {
         return respond_to_probe(shared, server);
     }
+    if sql == SET_DEFAULTS {
+        return Some(packets(1, &[OK]));
+    }
     if sql.starts_with("SELECT @@") {
         return Some(row(&vec![SYSTEM_VARIABLE; sql.matches("@@").count()]));
     }
--- a/test-servers/src/wire.rs
+++ b/test-servers/src/wire.rs
@@ -19,6 +19,10 @@
 
 /// Command byte that closes a connection.
 pub const COMMAND_QUIT: u8 = 1;
+/// Command byte that resets the session of a connection.
+pub const COMMAND_RESET_CONNECTION: u8 = 31;
+/// Statement that restores the settings of a session after it was reset.
+pub const SET_DEFAULTS: &str = "SET NAMES utf8mb4 COLLATE utf8mb4_general_ci, autocommit = 1";
 /// Command byte that runs a statement.
 pub const COMMAND_QUERY: u8 = 3;
 
--- a/testkit/src/routing.rs
+++ b/testkit/src/routing.rs
@@ -43,6 +43,10 @@
         false
     }
 
+    fn release(&mut self, _: ConnectionPermit) -> bool {
+        true
+    }
+
     fn execute(
         &mut self,
         _: Exchange<'_, NoProtocol>,
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -177,6 +177,9 @@
 
     /// Executes a statement and returns the packets of its response; on `None` the connection is closed.
     fn run(&self, sql: &str, binary: bool) -> Option<Vec<u8>> {
+        if sql == wire::SET_DEFAULTS {
+            return Some(packets(1, &[OK]));
+        }
         let mut state = self.state.lock().unwrap();
         if sql == "SELECT probe" {
             let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() - state.lag_ms;
