--- /dev/null
+++ b/mysql/tests/unsupported_statements.rs
@@ -0,0 +1,77 @@
+//! Statements that do not work on shared server connections have to be rejected, however they are spelled: what they
+//! set would be gone with the next reset, and what they read would belong to another session. And the router has to
+//! read a statement as the server does, or it would take a write for a read and repeat it.
+use mysql_wire::errors::UNSUPPORTED;
+use mysql_wire::statement::scan;
+
+fn is_rejected(text: &str) -> bool {
+    scan(text).check_supported().is_err_and(|error| error.code == UNSUPPORTED)
+}
+
+/// Guards against settings, transactions and locks of one client that meet another one on the same connection.
+#[test]
+fn statements_that_change_the_session_are_rejected() {
+    for text in [
+        "/*!40101 SET autocommit=0 */",
+        "/*! SET autocommit=0 */",
+        "/*!80000SET autocommit=0*/",
+        "/*M!100100 SET autocommit=0 */",
+        "/* c=order */ /*!40101 SET /* x */ autocommit=0 */",
+        "--\tSELECT 1\nSET autocommit=0",
+        "--\nSET autocommit=0",
+        "#\nSET autocommit=0",
+        "/*!40101 START TRANSACTION */",
+        "FLUSH TABLES WITH READ LOCK",
+        "flush local tables orders with  read lock;",
+        "FLUSH TABLES orders FOR EXPORT",
+        "BACKUP LOCK orders",
+        "CREATE OR REPLACE TEMPORARY TABLE t (a INT)",
+        "CREATE /*!50000 TEMPORARY */ TABLE t (a INT)",
+        "DROP TEMPORARY TABLE t",
+        "SELECT a INTO @a FROM t",
+        "SELECT 1; SET autocommit=0",
+        "INSERT INTO t VALUES (1);; SET @a = 1",
+        "SET STATEMENT max_statement_time=1 FOR SELECT 1",
+    ] {
+        assert!(is_rejected(text), "{text}");
+    }
+}
+
+#[test]
+fn statements_that_any_session_answers_alike_are_supported() {
+    for text in [
+        "select row_count, found_rows from stock where last_insert_id in (1, 2)",
+        "insert into notes values ('; SET autocommit=0', \"last_insert_id()\")",
+        "select 1; -- the end",
+        "select 1 -- ; set autocommit=0",
+        "select 5--1",
+        "select @@global.read_only, @@sql_mode",
+        "show count_of",
+        "show variables like 'a'",
+        "flush privileges",
+        "create procedure p() begin select 1; select 2; end",
+        "create table temporary_orders (a int)",
+        "/*!40000 ALTER TABLE orders DISABLE KEYS */",
+        "call place_order('get_lock (1)')",
+    ] {
+        assert_eq!(scan(text).check_supported(), Ok(()), "{text}");
+    }
+}
+
+/// Guards against a write that is taken for a read, and is sent again after it may have run: whether a server runs the
+/// contents of an executable comment depends on its version.
+#[test]
+fn statement_counts_as_a_read_only_if_each_server_reads_it_so() {
+    assert!(scan("select /*!80000 high_priority */ 1").is_read_only());
+    assert!(scan("/*!40101 select 1 */").is_read_only());
+    for text in [
+        "/*!99999 select 1 */ insert into orders values (1)",
+        "/*!40101 insert into orders */ select 1",
+        "--\tselect 1\ninsert into orders values (1)",
+    ] {
+        assert!(!scan(text).is_read_only(), "{text}");
+    }
+    assert!(!scan("/*!99999 insert into a values (1) */ call p()").is_atomic());
+    assert!(scan("/*!99999 insert into a values (1) */ call p()").is_call());
+    assert!(scan("/*!40101 insert into a values (1) */").is_atomic());
+}
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -476,6 +476,8 @@
         "SELECT last_insert_id()",
         "CREATE TEMPORARY TABLE t (a INT)",
         "PREPARE s FROM 'x'",
+        "/*!40101 SET autocommit=0 */",
+        "INSERT INTO orders VALUES (9); SET autocommit=0",
         "INSERT INTO orders VALUES (9) /* c=any-read */",
     ] {
         assert_eq!(code(client.query_drop(sql).unwrap_err()), (1235, "42000".into()), "{sql}");
