--- a/mysql/src/statement/support.rs
+++ b/mysql/src/statement/support.rs
@@ -12,10 +12,42 @@
 const SESSION_VALUES: &str =
     "functions of the server's session are not carried: server connections are shared";
 const SEVERAL_STATEMENTS: &str = "several statements in one text are not carried";
+const OTHER_CONNECTIONS: &str =
+    "statements about other connections are not carried: their numbers are the server's";
 
 /// Functions whose result or effect belongs to the server session.
-const SESSION_FUNCTIONS: [&str; 6] =
-    ["last_insert_id", "found_rows", "row_count", "get_lock", "release_lock", "connection_id"];
+const SESSION_FUNCTIONS: [&str; 15] = [
+    "last_insert_id",
+    "found_rows",
+    "row_count",
+    "get_lock",
+    "release_lock",
+    "release_all_locks",
+    "connection_id",
+    "ps_current_thread_id",
+    "lastval",
+    "service_get_read_locks",
+    "service_get_write_locks",
+    "service_release_locks",
+    "version_tokens_lock_shared",
+    "version_tokens_lock_exclusive",
+    "version_tokens_unlock",
+];
+
+/// System variables whose value an earlier statement of the session leaves.
+const SESSION_VARIABLES: [&str; 11] = [
+    "identity",
+    "last_insert_id",
+    "insert_id",
+    "warning_count",
+    "error_count",
+    "in_transaction",
+    "last_gtid",
+    "pseudo_thread_id",
+    "rand_seed1",
+    "rand_seed2",
+    "gtid_next",
+];
 
 /// Objects whose definition is a program, which may hold several statements.
 const PROGRAMS: [&str; 5] = ["procedure", "function", "trigger", "event", "package"];
@@ -44,6 +76,14 @@
             _,
         ) => Some(SESSION_STATE),
         ("load", _) => Some(FILES),
+        ("kill", _) => Some(OTHER_CONNECTIONS),
+        ("explain" | "describe" | "desc", _) if statement.normalized.contains("for connection ") => {
+            Some(OTHER_CONNECTIONS)
+        }
+        ("get", _) | ("show", "warnings" | "errors") => Some(SESSION_VALUES),
+        ("show", "count") if statement.words().any(|word| matches!(word, "warnings" | "errors")) => {
+            Some(SESSION_VALUES)
+        }
         _ => None,
     }
 }
@@ -75,7 +115,27 @@
 }
 
 fn uses_session_value(statement: &ScannedStatement) -> bool {
-    statement
-        .words()
-        .any(|word| SESSION_FUNCTIONS.contains(&word) && statement.normalized.contains(&format!("{word}(")))
+    // Names may be quoted, and white space may precede an opening bracket and surround a dot.
+    let text = statement.normalized.replace('`', "").replace(" (", "(").replace(" .", ".").replace(". ", ".");
+    calls_session_function(&text) || reads_session_variable(&text)
+}
+
+fn calls_session_function(text: &str) -> bool {
+    text.match_indices('(').any(|(offset, _)| {
+        let name = text[..offset].rsplit(|c| !is_name_char(c)).next().unwrap_or("");
+        SESSION_FUNCTIONS.contains(&name)
+    })
+}
+
+fn reads_session_variable(text: &str) -> bool {
+    text.match_indices("@@").any(|(offset, prefix)| {
+        let rest = &text[offset + prefix.len()..];
+        let name = rest.split(|c| !is_name_char(c) && c != '.').next().unwrap_or("");
+        let name = name.rsplit('.').next().unwrap_or("");
+        SESSION_VARIABLES.contains(&name)
+    })
+}
+
+fn is_name_char(c: char) -> bool {
+    c.is_alphanumeric() || matches!(c, '_' | '$')
 }
--- a/mysql/tests/unsupported_statements.rs
+++ b/mysql/tests/unsupported_statements.rs
@@ -32,6 +32,39 @@
         "SELECT 1; SET autocommit=0",
         "INSERT INTO t VALUES (1);; SET @a = 1",
         "SET STATEMENT max_statement_time=1 FOR SELECT 1",
+        "KILL QUERY 7",
+        "kill 7",
+        "EXPLAIN FOR CONNECTION 7",
+    ] {
+        assert!(is_rejected(text), "{text}");
+    }
+}
+
+/// Guards against answers that come from the session of another client's statement.
+#[test]
+fn statements_that_read_the_session_are_rejected() {
+    for text in [
+        "select @@identity",
+        "SELECT @@session.identity",
+        "select @@session . last_insert_id",
+        "select @@`identity`",
+        "select 1 from t where id = @@last_insert_id",
+        "select @@warning_count",
+        "select last_insert_id ()",
+        "select last_insert_id\n(\n)",
+        "select last_insert_id/**/()",
+        "select `last_insert_id`()",
+        "insert into lines values (last_insert_id ())",
+        "select get_lock ('x', 1)",
+        "do release_all_locks()",
+        "select found_rows(), row_count()",
+        "show warnings",
+        "SHOW ERRORS LIMIT 1",
+        "show count(*) warnings",
+        "show count ( * ) errors",
+        "get diagnostics condition 1 a = message_text",
+        "select /*!40101 @@identity */",
+        "/*!99999 select 1 */ select connection_id()",
     ] {
         assert!(is_rejected(text), "{text}");
     }
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -477,6 +477,10 @@
         "CREATE TEMPORARY TABLE t (a INT)",
         "PREPARE s FROM 'x'",
         "/*!40101 SET autocommit=0 */",
+        "SELECT @@identity",
+        "SELECT LAST_INSERT_ID ()",
+        "SHOW WARNINGS",
+        "KILL QUERY 1",
         "INSERT INTO orders VALUES (9); SET autocommit=0",
         "INSERT INTO orders VALUES (9) /* c=any-read */",
     ] {
