MySQL: a text in another character set than UTF-8 is rejected

Callers saw: the character set of a client's handshake was ignored, so that bytes of another character set which are valid UTF-8 by chance were stored as other characters.

Change: a statement that is not ASCII is rejected (1235) unless the client's collation is one of utf8mb4, utf8mb3, ascii or binary.

Test: text_in_another_character_set_is_rejected fails on the program before. Left: string parameters of prepared statements.

--- a/mysql/src/front/login.rs
+++ b/mysql/src/front/login.rs
@@ -8,6 +8,7 @@
 use crate::errors;
 use crate::handshake::{HandshakeResponse, encode_greeting};
 use crate::packet::{Packet, PacketReader};
+use crate::protocol::is_utf8_collation;
 use crate::results::OK;
 
 /// Sequence number before the first packet of a connection.
@@ -22,6 +23,8 @@
     pub(super) user: String,
     /// Whether the client supports several result sets in one response.
     pub(super) accepts_multi_results: bool,
+    /// Whether the client's texts are UTF-8, as on the router's connections to servers.
+    pub(super) sends_utf8: bool,
 }
 
 /// Sends the greeting and checks the client's user, password and database.
@@ -51,7 +54,8 @@
     }
     client.write_payloads(sequence, &[OK])?;
     let accepts_multi_results = response.capabilities & capability::MULTI_RESULTS != 0;
-    Ok(AuthenticatedClient { user: response.user, accepts_multi_results })
+    let sends_utf8 = is_utf8_collation(response.collation);
+    Ok(AuthenticatedClient { user: response.user, accepts_multi_results, sends_utf8 })
 }
 
 fn read_packet(client: &ClientLink<'_>, reader: &mut PacketReader) -> Result<Packet, ConnectionEnded> {
--- a/mysql/src/front/session.rs
+++ b/mysql/src/front/session.rs
@@ -142,6 +142,10 @@
 
     /// Returns the routing requirements of a statement, or an error if the statement is not supported.
     fn requirements(&self, text: &[u8]) -> Result<Requirements, CommandError> {
+        if !self.login.sends_utf8 && !text.is_ascii() {
+            let text = "the client's character set is not carried: only utf8mb4 is";
+            return Err(CommandError::new(errors::UNSUPPORTED, text));
+        }
         let text = std::str::from_utf8(text)
             .map_err(|_| CommandError::new(errors::MALFORMED, "the text is no UTF-8"))?;
         let statement = scan(text);
--- a/mysql/tests/unsupported_statements.rs
+++ b/mysql/tests/unsupported_statements.rs
@@ -2,6 +2,7 @@
 //! set would be gone with the next reset, and what they read would belong to another session. And the router has to
 //! read a statement as the server does, or it would take a write for a read and repeat it.
 use mysql_wire::errors::UNSUPPORTED;
+use mysql_wire::protocol::is_utf8_collation;
 use mysql_wire::statement::scan;
 
 fn is_rejected(text: &str) -> bool {
@@ -108,3 +109,14 @@
     assert!(scan("/*!99999 insert into a values (1) */ call p()").is_call());
     assert!(scan("/*!40101 insert into a values (1) */").is_atomic());
 }
+
+/// Guards against texts of a client in another character set that are stored as if they were UTF-8.
+#[test]
+fn only_collations_of_utf8_and_its_subsets_count_as_utf8() {
+    let latin1_swedish_ci = 8;
+    let gbk_chinese_ci = 28;
+    assert!(![latin1_swedish_ci, gbk_chinese_ci].into_iter().any(is_utf8_collation));
+    let utf8mb3_general_ci = 33;
+    let utf8mb4_0900_ai_ci = 255;
+    assert!([utf8mb3_general_ci, 45, 224, utf8mb4_0900_ai_ci].into_iter().all(is_utf8_collation));
+}
--- a/tests/session_isolation.rs
+++ b/tests/session_isolation.rs
@@ -9,9 +9,11 @@
 use common::program::Program;
 use mysql::prelude::Queryable;
 use mysql::{Conn, OptsBuilder};
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::time::Instant;
 use test_servers::session_server::{SessionServer, SessionServerSettings};
+use test_servers::wire;
 
 const SOUND: SessionServerSettings = SessionServerSettings { default_autocommit: true, knows_reset: true };
 const WITHOUT_RESET: SessionServerSettings = SessionServerSettings { knows_reset: false, ..SOUND };
@@ -184,3 +186,43 @@
         client.exec_drop(&prepared, ()).unwrap();
     }
 }
+
+/// Logs in with this collation ID, and returns the first payload of the response to a statement.
+fn query_with_collation(addr: SocketAddr, collation: u8, statement: &[u8]) -> Vec<u8> {
+    let capabilities = wire::CLIENT_PROTOCOL_41 | wire::CLIENT_SECURE_CONNECTION | wire::CLIENT_PLUGIN_AUTH;
+    let max_payload = 1_u32 << 24;
+    let login = [
+        &capabilities.to_le_bytes()[..],
+        &max_payload.to_le_bytes(),
+        &[collation],
+        &[0; 23],
+        b"import\0",
+        &[0],
+        b"mysql_native_password\0",
+    ]
+    .concat();
+    let mut socket = TcpStream::connect(addr).unwrap();
+    socket.set_read_timeout(Some(TIMEOUT)).unwrap();
+    wire::read(&socket).unwrap();
+    socket.write_all(&wire::packets(1, &[&login])).unwrap();
+    assert_eq!(wire::read(&socket).unwrap()[0], wire::OK_HEADER);
+    socket.write_all(&wire::packets(0, &[&[&[wire::COMMAND_QUERY], statement].concat()])).unwrap();
+    wire::read(&socket).unwrap()
+}
+
+/// Guards against a text in another character set that is stored as if it were UTF-8: connections to servers use
+/// utf8mb4 for all clients, whatever a client's handshake names.
+#[test]
+fn text_in_another_character_set_is_rejected() {
+    const LATIN1_SWEDISH_CI: u8 = 8;
+    let setup = Setup::start(SOUND);
+    let both_latin1_and_utf8 = "insert into orders values ('\u{e4}')".as_bytes();
+    assert_eq!(
+        query_with_collation(setup.addr, wire::CHARACTER_SET, both_latin1_and_utf8)[0],
+        wire::OK_HEADER
+    );
+    let rejected = query_with_collation(setup.addr, LATIN1_SWEDISH_CI, both_latin1_and_utf8);
+    assert_eq!((rejected[0], u16::from_le_bytes([rejected[1], rejected[2]])), (wire::ERROR_HEADER, 1235));
+    let ascii = query_with_collation(setup.addr, LATIN1_SWEDISH_CI, b"insert into orders values ('a')");
+    assert_eq!(ascii[0], wire::OK_HEADER);
+}
