Platform: all that clients make the process hold is drawn from one memory budget

Cause: memory was bounded per kind, and several kinds not at all: responses read from instances, responses behind a slow reader, buffers below 16 KiB, idle buffers, records of requests, writer threads, and the free memory of 64 arenas.

Change: one pool for messages, requests and responses; a response reserves its memory at once, waits for it at the connection to its instance and keeps it until it is written; a client's responses have a share of the pool. Connections are limited by memory, too. A statement is copied after its memory is reserved. No memory for a message is 53300, not 08P01, since it has no effect.

--- a/client-listener/src/lib.rs
+++ b/client-listener/src/lib.rs
@@ -10,6 +10,7 @@
 mod disconnects;
 pub mod in_flight_requests;
 mod listener;
+pub mod memory;
 mod server;
 mod shared_state;
 pub mod shutdown;
--- a/postgres/src/backend.rs
+++ b/postgres/src/backend.rs
@@ -1,10 +1,11 @@
 //! Connections to database instances. A connection stays open between requests and carries one request at a
 //! time.
-use crate::buffer::{Frame, MessageBuffer, ReadError};
+use crate::buffer::{Frame, MessageBuffer, ProtocolError, ReadError};
 use crate::decode::error_fields;
 use crate::encode::{io_slices, push_message};
+use crate::request::{Request, Response};
 use crate::response::{MAX_OVERHEAD_BYTES, ResponseEnd, ResponseKind, ResponseParser};
-use crate::statement::Statement;
+
 use routing::{
     AttemptGuard, BackendProtocol, Clock, Connection, ConnectionPermit, Exchange, ExchangeResult, Handshake,
     NotSent, Outcome, ServerSocket, WallClock,
@@ -46,9 +47,8 @@
 }
 
 impl BackendProtocol for Postgres {
-    type Payload = Statement;
-    /// `RowDescription`, `DataRow` and `CommandComplete`, byte for byte as the instance sent them.
-    type Response = Vec<u8>;
+    type Payload = Request;
+    type Response = Response;
     type Connection = PostgresConnection;
 
     fn connect(&self, addr: SocketAddr, permit: ConnectionPermit) -> Result<PostgresConnection, Outcome> {
@@ -110,7 +110,7 @@
         &mut self,
         exchange: Exchange<'_, Postgres>,
         guard: &AttemptGuard,
-    ) -> Result<ExchangeResult<Vec<u8>>, NotSent> {
+    ) -> Result<ExchangeResult<Response>, NotSent> {
         // An error that the instance sends while it closes the connection would be taken for the response of
         // this exchange.
         if !self.socket.is_idle_and_open() {
@@ -121,7 +121,8 @@
         // time left when the message is sent.
         let now = Instant::now();
         let (kind, deadlines, written) = match exchange {
-            Exchange::Attempt(statement, deadline) => {
+            Exchange::Attempt(Request { statement, memory }, deadline) => {
+                self.buffer.begin_response(memory, deadline);
                 let remaining = deadline.saturating_duration_since(now);
                 let digits = remaining.as_millis().max(1).to_string();
                 let (header, [before, after]) = statement.with_wait(&digits);
@@ -142,7 +143,8 @@
         if written.is_err() {
             return Err(NotSent::ConnectionBroken);
         }
-        Ok(self.read_response(kind, &deadlines))
+        let result = self.read_response(kind, &deadlines);
+        Ok(self.account_for_response(result))
     }
 }
 
@@ -183,6 +185,17 @@
         self.convert_to_router_clock(result)
     }
 
+    /// Frees the buffer, and passes its memory on to the response as far as the response needs it.
+    fn account_for_response(&mut self, result: ExchangeResult<Vec<u8>>) -> ExchangeResult<Response> {
+        let mut memory = self.buffer.end_response();
+        result.map_response(|messages| {
+            if let Some(memory) = &mut memory {
+                memory.shrink_to(messages.capacity());
+            }
+            Response { messages, memory }
+        })
+    }
+
     /// Passes messages to the parser until the response ends.
     fn read_messages(&mut self, parser: &mut ResponseParser, deadlines: &Deadlines) -> ResponseEnd {
         let mut deadline = deadlines.last_read;
@@ -212,6 +225,8 @@
         match self.buffer.read_message(self.socket.reader(deadline)) {
             Ok(Some(frame)) => Ok(frame),
             Ok(None) => Err(ResponseEnd::Closed),
+            // The response waited for memory until its deadline.
+            Err(ReadError::Protocol(ProtocolError::OutOfMemory)) => Err(ResponseEnd::TimedOut),
             Err(ReadError::Protocol(_)) => Err(ResponseEnd::Malformed),
             Err(ReadError::Io(e)) => match e.kind() {
                 io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => Err(ResponseEnd::TimedOut),
--- a/postgres/src/buffer.rs
+++ b/postgres/src/buffer.rs
@@ -1,13 +1,13 @@
 //! Message framing: each message is a tag, a length and a body, parsed in place in a buffer per connection.
-use crate::memory_pool::{MemoryPool, MemoryReservation};
+use client_listener::memory::{ClientMemory, MemoryPool, MemoryReservation, ResponseMemory};
 use std::io::{self, Read};
 use std::ops::Range;
+use std::time::Instant;
 
 /// Initial size of a buffer, in bytes.
 const INITIAL_BYTES: usize = 1024;
-/// Largest size, in bytes, that a buffer may have without a memory reservation, and that it retains between
-/// two messages.
-const MAX_IDLE_BYTES: usize = 16 * 1024;
+/// Number of copies of a long response that its connection holds: the buffer, and the messages for the client.
+const RESPONSE_COPIES: usize = 2;
 /// Size of the header of a startup message, in bytes: its length and its request code.
 const STARTUP_HEADER_BYTES: usize = 8;
 /// Maximum length of a startup message, in bytes.
@@ -83,7 +83,37 @@
     start: usize,
     end: usize,
     max_message_bytes: usize,
-    reservation: Option<MemoryReservation>,
+    memory: BufferMemory,
+}
+
+/// Where the memory of a buffer comes from that is larger than initially.
+enum BufferMemory {
+    /// It is not reserved: the maximum message is short, or the number of buffers is bounded.
+    Unreserved,
+    /// The message of a client. Without memory for it, reading fails.
+    Message(MemoryReservation),
+    /// The response to a client's request. Reading waits for the memory.
+    Response(ResponseBudget),
+}
+
+/// Memory for the response that a buffer reads.
+struct ResponseBudget {
+    client: ClientMemory,
+    /// Time until which the response is of use.
+    deadline: Instant,
+    reserved: Option<ResponseMemory>,
+}
+
+impl ResponseBudget {
+    /// Reserves memory for a message of this length at once, so that no response waits for memory while it holds some.
+    fn reserve(&mut self, bytes: usize) -> bool {
+        let bytes = RESPONSE_COPIES * bytes;
+        if self.reserved.as_ref().is_none_or(|reserved| reserved.bytes() < bytes) {
+            self.reserved = None;
+            self.reserved = self.client.reserve_response(bytes, self.deadline);
+        }
+        self.reserved.is_some()
+    }
 }
 
 impl MessageBuffer {
@@ -94,14 +124,33 @@
             start: 0,
             end: 0,
             max_message_bytes,
-            reservation: None,
+            memory: BufferMemory::Unreserved,
         }
     }
 
     /// Creates a buffer for a client connection, which reserves the memory of long messages in the pool.
     pub fn pooled(max_message_bytes: usize, pool: &MemoryPool) -> Self {
-        let reservation = Some(MemoryReservation::new(pool));
-        MessageBuffer { reservation, ..MessageBuffer::new(max_message_bytes) }
+        let memory = BufferMemory::Message(MemoryReservation::new(pool));
+        MessageBuffer { memory, ..MessageBuffer::new(max_message_bytes) }
+    }
+
+    /// From now on, reserves the memory of long messages for the responses of a client. Reading waits for the memory until
+    /// the deadline.
+    pub fn begin_response(&mut self, client: &ClientMemory, deadline: Instant) {
+        self.memory =
+            BufferMemory::Response(ResponseBudget { client: client.clone(), deadline, reserved: None });
+    }
+
+    /// Ends the response that [`MessageBuffer::begin_response`] began. Frees the buffer of a long one, and returns what
+    /// was reserved for it.
+    pub fn end_response(&mut self) -> Option<ResponseMemory> {
+        if self.is_empty() {
+            self.reset();
+        }
+        match std::mem::replace(&mut self.memory, BufferMemory::Unreserved) {
+            BufferMemory::Response(budget) => budget.reserved,
+            BufferMemory::Unreserved | BufferMemory::Message(_) => None,
+        }
     }
 
     /// Returns the bytes in a frame's range. The range is valid until the next read.
@@ -175,9 +224,11 @@
     /// the lifetime of the connection.
     fn reset(&mut self) {
         (self.start, self.end) = (0, 0);
-        if self.bytes.len() > MAX_IDLE_BYTES {
+        if self.bytes.len() > INITIAL_BYTES {
             self.bytes = vec![0; INITIAL_BYTES];
-            self.reservation.iter_mut().for_each(MemoryReservation::release);
+            if let BufferMemory::Message(reservation) = &mut self.memory {
+                reservation.release();
+            }
         }
     }
 
@@ -207,7 +258,12 @@
     /// field alone costs its sender nothing and must not reserve memory.
     fn grow(&mut self, needed: usize) -> Result<(), ProtocolError> {
         let size = (2 * self.bytes.len()).min(needed.max(2 * INITIAL_BYTES));
-        if size > MAX_IDLE_BYTES && self.reservation.as_mut().is_some_and(|r| !r.grow_to(size)) {
+        let has_memory = match &mut self.memory {
+            BufferMemory::Unreserved => true,
+            BufferMemory::Message(reservation) => reservation.grow_message_to(size),
+            BufferMemory::Response(budget) => budget.reserve(needed.max(size)),
+        };
+        if !has_memory {
             return Err(ProtocolError::OutOfMemory);
         }
         self.bytes.resize(size, 0);
--- a/postgres/src/front/command.rs
+++ b/postgres/src/front/command.rs
@@ -5,6 +5,7 @@
 use crate::buffer::{Frame, MessageBuffer};
 use crate::encode::{READY, push_message};
 use client_listener::Connection;
+use client_listener::memory::ClientMemory;
 use std::sync::Arc;
 
 /// The response to a command.
@@ -25,16 +26,23 @@
     SkippingToSync,
 }
 
+/// A client whose messages are handled.
+pub(super) struct Client<'a> {
+    pub(super) front: &'a Arc<Front>,
+    pub(super) connection: &'a Arc<Connection>,
+    /// Account of the memory of the client's responses.
+    pub(super) memory: ClientMemory,
+}
+
 /// Handles a message and returns its response; returns `None` if it gets no response.
 pub(super) fn handle_message(
-    front: &Arc<Front>,
-    connection: &Arc<Connection>,
+    client: &Client<'_>,
     buffer: &MessageBuffer,
     frame: &Frame,
     sync: &mut SyncState,
 ) -> Option<CommandResponse> {
     match frame.tag {
-        b'Q' => handle_query(front, connection, buffer, frame),
+        b'Q' => handle_query(client, buffer, frame),
         b'S' => {
             *sync = SyncState::Ready;
             Some(CommandResponse::Immediate(READY.to_vec()))
@@ -58,12 +66,8 @@
     CommandResponse::Error(response)
 }
 
-fn handle_query(
-    front: &Arc<Front>,
-    connection: &Arc<Connection>,
-    buffer: &MessageBuffer,
-    frame: &Frame,
-) -> Option<CommandResponse> {
+fn handle_query(client: &Client<'_>, buffer: &MessageBuffer, frame: &Frame) -> Option<CommandResponse> {
+    let Client { front, connection, memory } = client;
     let body = buffer.get(frame.body());
     let text = body.strip_suffix(b"\0").unwrap_or(body).trim_ascii();
     if text.is_empty() {
@@ -73,7 +77,7 @@
     if matches!(&first_word[..], b"SET" | b"RESET" | b"DISCARD") {
         return Some(CommandResponse::Immediate(settings_response(&first_word)));
     }
-    match submit(front, connection, buffer.get(frame.range.clone())) {
+    match submit(front, connection, memory, buffer.get(frame.range.clone())) {
         Ok(pending) => Some(CommandResponse::Pending(pending)),
         Err(error) => {
             let mut response = response::submit_error(&error)?;
--- a/postgres/src/front/open_request.rs
+++ b/postgres/src/front/open_request.rs
@@ -1,7 +1,7 @@
 //! A request that has no response yet, and the resources it uses.
 use super::shared::Front;
-use crate::memory_pool::MemoryReservation;
 use client_listener::Connection;
+use client_listener::memory::MemoryReservation;
 use routing::RequestId;
 use std::sync::Arc;
 
--- a/postgres/src/front/response.rs
+++ b/postgres/src/front/response.rs
@@ -2,6 +2,8 @@
 use super::submission::SubmitError;
 use crate::buffer::{CancelKey, ProtocolError};
 use crate::encode::{READY, Severity, push_error, push_message, push_parameter};
+use crate::request::Response;
+use client_listener::memory::ResponseMemory;
 use routing::{FinalResponse, Outcome};
 
 /// Parameters that each client is sent at startup.
@@ -33,10 +35,17 @@
     response
 }
 
-/// Encodes the error for a client that violated the protocol; the connection is closed after the error.
+/// Encodes the error for a client whose connection is closed after it: the client violated the protocol, or there is no
+/// memory for its message, which has no effect then.
 pub(super) fn protocol_violation(violation: ProtocolError) -> Vec<u8> {
     let mut response = Vec::new();
-    push_error(&mut response, Severity::Fatal, "08P01", &violation.to_string(), None);
+    match violation {
+        ProtocolError::OutOfMemory => {
+            let text = "refused: too much is under way; trying again is harmless";
+            push_error(&mut response, Severity::Fatal, "53300", text, None);
+        }
+        _ => push_error(&mut response, Severity::Fatal, "08P01", &violation.to_string(), None),
+    }
     response
 }
 
@@ -59,10 +68,18 @@
     }
 }
 
-/// Encodes a final response, with `ReadyForQuery`.
-pub(super) fn encode(response: FinalResponse<Vec<u8>>) -> Vec<u8> {
-    let mut encoded = match response {
-        FinalResponse::Served(messages, _) => messages,
+/// An encoded response without its `ReadyForQuery`, and the memory that it uses.
+pub(super) struct EncodedResponse {
+    pub(super) messages: Vec<u8>,
+    _memory: Option<ResponseMemory>,
+}
+
+/// Encodes a final response, without `ReadyForQuery`.
+pub(super) fn encode(response: FinalResponse<Response>) -> EncodedResponse {
+    let messages = match response {
+        FinalResponse::Served(Response { messages, memory }, _) => {
+            return EncodedResponse { messages, _memory: memory };
+        }
         FinalResponse::Rejected(retry_after) => {
             let retry_after_ms = retry_after.map(|after| after.as_millis().to_string());
             rejected(retry_after_ms.as_deref())
@@ -72,8 +89,7 @@
         FinalResponse::PlacementDenied(_) => rejected(None),
         FinalResponse::Failed(last) => failed(last),
     };
-    encoded.extend_from_slice(READY);
-    encoded
+    EncodedResponse { messages, _memory: None }
 }
 
 /// Encodes a rejection; `detail` is the number of milliseconds after which the client may retry.
--- a/postgres/src/front/response_writer.rs
+++ b/postgres/src/front/response_writer.rs
@@ -1,11 +1,12 @@
 //! Waits for responses and writes them: on the reader's thread for a client that sends one command at a time,
 //! on a thread of its own for a client that pipelines.
 use super::command::CommandResponse;
-use super::response;
+use super::response::{self, EncodedResponse};
 use super::shared::Front;
 use super::submission::PendingRequest;
 use crate::buffer::MessageBuffer;
-use crate::encode::write_gathered;
+use crate::encode::{READY, write_gathered};
+use client_listener::memory::MemoryReservation;
 use client_listener::{Connection, SocketState};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
 use routing::reasons::CloseReason;
@@ -31,24 +32,25 @@
     buffer: &MessageBuffer,
     response: CommandResponse,
 ) -> Result<ResponseProgress, ClientDisconnected> {
-    let encoded = match response {
-        CommandResponse::Immediate(encoded) | CommandResponse::Error(encoded) => encoded,
+    match response {
+        CommandResponse::Immediate(encoded) | CommandResponse::Error(encoded) => {
+            write_response(connection, &[&encoded])?;
+        }
         CommandResponse::Pending(pending) => match wait_unless_pipelined(front, connection, buffer, pending)?
         {
-            WaitResult::Ready(encoded) => encoded,
+            WaitResult::Ready(encoded) => write_response(connection, &[&encoded.messages, READY])?,
             WaitResult::Pipelined(pending) => {
                 return Ok(ResponseProgress::Pipelined(CommandResponse::Pending(pending)));
             }
         },
-    };
-    write_response(connection, &encoded)?;
+    }
     Ok(ResponseProgress::Written)
 }
 
 /// How the wait for a response ended.
 enum WaitResult {
     /// The response is ready and encoded.
-    Ready(Vec<u8>),
+    Ready(EncodedResponse),
     /// The client has sent another command.
     Pipelined(PendingRequest),
 }
@@ -84,27 +86,25 @@
 
 /// Waits for a response, without checking whether the client sends more commands, and writes it.
 pub(super) fn respond(connection: &Connection, response: CommandResponse) -> Result<(), ClientDisconnected> {
-    let encoded = wait_for_response(response)?;
-    write_response(connection, &encoded)
-}
-
-fn wait_for_response(response: CommandResponse) -> Result<Vec<u8>, ClientDisconnected> {
     match response {
-        CommandResponse::Immediate(encoded) | CommandResponse::Error(encoded) => Ok(encoded),
+        CommandResponse::Immediate(encoded) | CommandResponse::Error(encoded) => {
+            write_response(connection, &[&encoded])
+        }
         CommandResponse::Pending(pending) => {
             let final_response = pending.receiver.recv().map_err(|_| ClientDisconnected)?;
             // The client may use the id again as soon as it has the response, so the request is finished
             // before the response is written.
             pending.request.finish();
-            Ok(response::encode(final_response))
+            let encoded = response::encode(final_response);
+            write_response(connection, &[&encoded.messages, READY])
         }
     }
 }
 
 /// Writes a response and finishes its command.
-fn write_response(connection: &Connection, encoded: &[u8]) -> Result<(), ClientDisconnected> {
+fn write_response(connection: &Connection, parts: &[&[u8]]) -> Result<(), ClientDisconnected> {
     connection.prepare_response();
-    let written = write_gathered(&connection.socket, &[encoded]);
+    let written = write_gathered(&connection.socket, parts);
     connection.finish_command();
     written.map_err(|_| {
         connection.set_close_reason(CloseReason::ClientStalled);
@@ -120,16 +120,24 @@
     ClientDisconnected,
 }
 
+/// Memory of a writer thread, in bytes: what it uses of its stack, and its queue.
+const WRITER_BYTES: usize = 24 * 1024;
+
 /// The thread that writes the responses of a client that pipelines.
 pub(super) struct ResponseWriter {
+    _memory: MemoryReservation,
     responses: Sender<CommandResponse>,
     /// Channel that is disconnected once the thread has ended.
     ended: Receiver<()>,
 }
 
 impl ResponseWriter {
-    /// Starts the thread; returns `None` if the system cannot start one.
+    /// Starts the thread; returns `None` if the system cannot start one, or there is no memory for it.
     pub(super) fn start(front: &Arc<Front>, connection: &Arc<Connection>) -> Option<ResponseWriter> {
+        let mut memory = MemoryReservation::new(&front.memory);
+        if !memory.grow_to(WRITER_BYTES) {
+            return None;
+        }
         let (sender, responses) = bounded(front.limits.max_pipelined_requests);
         let (end_sender, ended) = bounded::<()>(0);
         let (stack_bytes, front, connection) =
@@ -139,7 +147,7 @@
             drop(end_sender);
         };
         spawn("answers", stack_bytes, run).ok()?;
-        Some(ResponseWriter { responses: sender, ended })
+        Some(ResponseWriter { _memory: memory, responses: sender, ended })
     }
 
     /// Returns whether no further response can be queued now.
--- a/postgres/src/front/session.rs
+++ b/postgres/src/front/session.rs
@@ -1,5 +1,5 @@
 //! One client's session: the work of the reader thread from startup to the end of the connection.
-use super::command::{CommandResponse, SyncState, handle_message};
+use super::command::{Client, CommandResponse, SyncState, handle_message};
 use super::response;
 use super::response_writer::{
     ClientDisconnected, QueueError, ResponseProgress, ResponseWriter, respond, respond_unless_pipelined,
@@ -8,6 +8,7 @@
 use super::startup::perform_startup;
 use crate::buffer::{Frame, MessageBuffer, ProtocolError, ReadError};
 use crate::encode::write_gathered;
+use client_listener::memory::ClientMemory;
 use client_listener::{Connection, is_timeout};
 use routing::reasons::CloseReason;
 use std::net::TcpStream;
@@ -26,8 +27,9 @@
         // thread and its age is discarded.
         connection.take_command_age();
     }
+    let client = Client { front, connection, memory: ClientMemory::new(&front.memory) };
     let mut session =
-        Session { front, connection, buffer: &mut buffer, sync: SyncState::default(), writer: None };
+        Session { front, connection, client, buffer: &mut buffer, sync: SyncState::default(), writer: None };
     let end = session.read_commands();
     session.close(end);
 }
@@ -58,6 +60,7 @@
 struct Session<'a> {
     front: &'a Arc<Front>,
     connection: &'a Arc<Connection>,
+    client: Client<'a>,
     buffer: &'a mut MessageBuffer,
     sync: SyncState,
     /// The writer thread; `None` until the client has pipelined commands.
@@ -78,7 +81,7 @@
     fn read_command(&mut self) -> Result<(), SessionEnd> {
         let Some(frame) = self.read_frame()? else { return Ok(()) };
         self.begin_command(&frame)?;
-        let response = handle_message(self.front, self.connection, self.buffer, &frame, &mut self.sync);
+        let response = handle_message(&self.client, self.buffer, &frame, &mut self.sync);
         let Some(response) = response else {
             self.connection.finish_command();
             return Ok(());
--- a/postgres/src/front/shared.rs
+++ b/postgres/src/front/shared.rs
@@ -1,8 +1,8 @@
 //! State that all connections of the front share.
 use crate::backend::Postgres;
 use crate::buffer::CancelKey;
-use crate::memory_pool::MemoryPool;
 use client_listener::Connection;
+use client_listener::memory::MemoryPool;
 use routing::{RouterHandle, Settings};
 use settings::Limits;
 use std::collections::{HashMap, HashSet};
--- a/postgres/src/front/submission.rs
+++ b/postgres/src/front/submission.rs
@@ -1,17 +1,22 @@
 //! Submits queries to the routing core.
 use super::open_request::OpenRequest;
 use super::shared::{Front, FrontClass};
-use crate::memory_pool::MemoryReservation;
+use crate::request::{Request, Response};
 use crate::statement::{Statement, StatementError};
 use client_listener::Connection;
+use client_listener::memory::{ClientMemory, MemoryReservation};
 use crossbeam_channel::{Receiver, bounded};
 use routing::{ClientRequest, FinalResponse, GroupId, SessionId, Time};
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Memory of an open request besides its statement, in bytes: its records in the front, the routing core and the
+/// decision module, and its attempts.
+const REQUEST_BYTES: usize = 2048;
+
 /// A submitted request, and the channel on which its final response arrives.
 pub(super) struct PendingRequest {
-    pub(super) receiver: Receiver<FinalResponse<Vec<u8>>>,
+    pub(super) receiver: Receiver<FinalResponse<Response>>,
     pub(super) request: OpenRequest,
 }
 
@@ -33,21 +38,22 @@
     }
 }
 
-/// Submits a Query message, given with its tag and length.
+/// Submits a Query message, given with its tag and length. The memory of its response is reserved on the client's account.
 pub(super) fn submit(
     front: &Arc<Front>,
     connection: &Arc<Connection>,
+    client_memory: &ClientMemory,
     message: &[u8],
 ) -> Result<PendingRequest, SubmitError> {
     let now = front.handle.clock.now();
-    let mut memory = MemoryReservation::new(&front.memory);
-    let has_memory = memory.grow_to(message.len());
     let statement = Statement::parse(message)?;
     let class = front.class(statement.class()).ok_or(StatementError::UnknownClass)?;
-    if !has_memory {
+    let mut memory = MemoryReservation::new(&front.memory);
+    if !memory.grow_to(message.len() + REQUEST_BYTES) {
         front.handle.count_rejected(class.index);
         return Err(SubmitError::OutOfMemory);
     }
+    let statement = statement.into_owned();
     let mut request =
         OpenRequest::register(front, connection, statement.id(), memory).ok_or(SubmitError::DuplicateId)?;
     let (sender, receiver) = bounded(1);
@@ -63,7 +69,7 @@
             .after_ms
             .map(|ms| front.handle.wall_clock.commit(Time(ms.saturating_mul(1000)))),
         may_run_partially: false,
-        payload: statement,
+        payload: Request { statement, memory: client_memory.clone() },
         response_sender: sender,
     };
     let submitted = connection.submit(|| front.handle.submit(client_request));
--- a/postgres/src/response.rs
+++ b/postgres/src/response.rs
@@ -9,6 +9,9 @@
 /// Maximum size of everything in a response but its value, in bytes: headers, parameters and notices.
 pub const MAX_OVERHEAD_BYTES: usize = 16 * 1024;
 
+/// Usual maximum length of what follows a row, in bytes: its `CommandComplete`.
+const MAX_END_BYTES: usize = 64;
+
 /// How the reading of a response ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseEnd {
@@ -113,6 +116,8 @@
             _ => return Err(UnexpectedMessage),
         }
         if matches!(tag, b'T' | b'D' | b'C') && self.kind == ResponseKind::Statement {
+            // Without this, the short message after a long row would double the capacity.
+            self.response.reserve_exact(message.len() + MAX_END_BYTES);
             self.response.extend_from_slice(message);
         }
         Ok(None)
--- a/postgres/src/statement.rs
+++ b/postgres/src/statement.rs
@@ -5,11 +5,12 @@
 /// Maximum length of a request's id, in bytes.
 const MAX_ID_BYTES: usize = 64;
 
-/// A query as the client sent it, with the parsed fields of its comment.
+/// A query as the client sent it, with the parsed fields of its comment. It borrows the message until there is memory
+/// for a copy.
 #[derive(Debug)]
-pub struct Statement {
+pub struct Statement<Message = Vec<u8>> {
     /// The whole message, including its tag and length.
-    message: Vec<u8>,
+    message: Message,
     /// Range of the digits of the field `d` in the message.
     wait: Range<usize>,
     /// How long the client waits for the response, in milliseconds.
@@ -137,12 +138,12 @@
     (1..=MAX_ID_BYTES).contains(&id.len()) && id.iter().all(u8::is_ascii_graphic)
 }
 
-impl Statement {
+impl<'m> Statement<&'m [u8]> {
     /// Parses a Query message, given with its tag and length.
     ///
     /// # Errors
     /// Fails if the query has no comment, or if fields of the comment are missing or invalid.
-    pub fn parse(message: &[u8]) -> Result<Statement, StatementError> {
+    pub fn parse(message: &'m [u8]) -> Result<Self, StatementError> {
         // The text is between the header and the terminating zero byte.
         let body = 5..message.len().saturating_sub(1);
         let text = message.get(body.clone()).ok_or(StatementError::Empty)?;
@@ -170,30 +171,39 @@
         };
         let class = fields.class.ok_or(StatementError::NoClass)?;
         let key = first_quoted(text, open).map(|key| body.start + key.start..body.start + key.end);
-        Ok(Statement { message: message.to_vec(), wait, wait_ms, id, class, key, group, after_ms })
+        Ok(Statement { message, wait, wait_ms, id, class, key, group, after_ms })
     }
 
+    /// Copies the message.
+    pub fn into_owned(self) -> Statement {
+        let Statement { message, wait, wait_ms, id, class, key, group, after_ms } = self;
+        Statement { message: message.to_vec(), wait, wait_ms, id, class, key, group, after_ms }
+    }
+}
+
+impl<Message: AsRef<[u8]>> Statement<Message> {
     /// Returns the id that the client gave the request.
     pub fn id(&self) -> &[u8] {
-        &self.message[self.id.clone()]
+        &self.message.as_ref()[self.id.clone()]
     }
 
     /// Returns the name of the request's class.
     pub fn class(&self) -> &[u8] {
-        &self.message[self.class.clone()]
+        &self.message.as_ref()[self.class.clone()]
     }
 
     /// Returns the quoted key, which identifies the session.
     pub fn key(&self) -> Option<&[u8]> {
-        self.key.clone().map(|key| &self.message[key])
+        self.key.clone().map(|key| &self.message.as_ref()[key])
     }
 
     /// Returns the message with another waiting time: its new header, and the parts before and after the
     /// digits.
     pub fn with_wait(&self, digits: &str) -> ([u8; 5], [&[u8]; 2]) {
-        let length = self.message.len() - 1 - self.wait.len() + digits.len();
+        let message = self.message.as_ref();
+        let length = message.len() - 1 - self.wait.len() + digits.len();
         let mut header = [b'Q'; 5];
         header[1..].copy_from_slice(&(length as u32).to_be_bytes());
-        (header, [&self.message[5..self.wait.start], &self.message[self.wait.end..]])
+        (header, [&message[5..self.wait.start], &message[self.wait.end..]])
     }
 }
--- a/postgres/tests/common/mod.rs
+++ b/postgres/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A test instance that runs a script and controls every byte that it sends, and a connection to it.
+use client_listener::memory::{ClientMemory, MemoryPool};
 use postgres::backend::{Postgres, PostgresConnection};
+use postgres::request::Request;
 use postgres::statement::Statement;
 use routing::Clock;
 use routing::Outcome;
@@ -130,8 +132,10 @@
 pub(crate) const SELECT: &str =
     "SELECT body FROM objects WHERE oid = 'k1' /* id=a1,c=read,d=480,cluster=3 */";
 
-pub(crate) fn statement() -> Statement {
-    Statement::parse(&message(b'Q', format!("{SELECT}\0").as_bytes())).unwrap()
+pub(crate) fn statement() -> Request {
+    let query = message(b'Q', format!("{SELECT}\0").as_bytes());
+    let statement = Statement::parse(&query).unwrap().into_owned();
+    Request { statement, memory: ClientMemory::new(&MemoryPool::new(1 << 20)) }
 }
 
 /// Executes a client's statement with this deadline.
@@ -139,9 +143,11 @@
     connection: &mut PostgresConnection,
     deadline: Instant,
 ) -> Result<ExchangeResult<Vec<u8>>, NotSent> {
-    connection.execute(Exchange::Attempt(&statement(), deadline), &AttemptGuard::default())
+    let result = connection.execute(Exchange::Attempt(&statement(), deadline), &AttemptGuard::default())?;
+    Ok(result.map_response(|response| response.messages))
 }
 
 pub(crate) fn probe(connection: &mut PostgresConnection) -> Result<ExchangeResult<Vec<u8>>, NotSent> {
-    connection.execute(Exchange::Probe, &AttemptGuard::default())
+    let result = connection.execute(Exchange::Probe, &AttemptGuard::default())?;
+    Ok(result.map_response(|response| response.messages))
 }
--- a/postgres/tests/fuzz.rs
+++ b/postgres/tests/fuzz.rs
@@ -1,8 +1,8 @@
 //! Feeds random bytes, and random mutations of well-formed ones, to all parsers: nothing panics, malformed
 //! input is never taken for a response or a statement, and memory stays bounded.
+use client_listener::memory::MemoryPool;
 use postgres::buffer::{MessageBuffer, ReadError};
 use postgres::decode::{error_fields, parameter_status};
-use postgres::memory_pool::MemoryPool;
 use postgres::response::{MAX_OVERHEAD_BYTES, ResponseEnd, ResponseKind, ResponseParser};
 use postgres::statement::Statement;
 use proptest::collection::vec;
--- a/routing/src/protocol.rs
+++ b/routing/src/protocol.rs
@@ -44,6 +44,20 @@
     }
 }
 
+impl<R> ExchangeResult<R> {
+    /// Converts the response, if there is one.
+    pub fn map_response<S>(self, convert: impl FnOnce(R) -> S) -> ExchangeResult<S> {
+        ExchangeResult {
+            outcome: self.outcome,
+            response: self.response.map(convert),
+            response_report: self.response_report,
+            commit: self.commit,
+            load_report: self.load_report,
+            reusable: self.reusable,
+        }
+    }
+}
+
 /// A wire protocol for communicating with endpoints.
 pub trait BackendProtocol: Send + Sync + Sized + 'static {
     /// Type of the message that a request sends to an endpoint.
--- a/settings/src/limits/bounds.rs
+++ b/settings/src/limits/bounds.rs
@@ -12,6 +12,31 @@
     pub memory_bytes: usize,
 }
 
+/// Memory of the program without connections, in bytes: its code, its threads, and the endpoint list.
+const PROGRAM_BYTES: usize = 10 << 20;
+/// Memory of a connection that holds no long message, in bytes: what its thread uses of its stack, its buffer, and its
+/// records.
+const CONNECTION_BYTES: usize = 24 * 1024;
+
+impl ProcessResources {
+    /// Returns the number of descriptors that can be used without connections taking up more than half of the memory
+    /// that the program leaves.
+    fn usable_descriptors(self) -> usize {
+        self.descriptors.min(descriptors::RESERVED + self.memory_for_connections() / CONNECTION_BYTES)
+    }
+
+    /// Returns the memory that connections without messages may use together, in bytes.
+    fn memory_for_connections(self) -> usize {
+        self.memory_bytes.saturating_sub(PROGRAM_BYTES) / 2
+    }
+
+    /// Returns the memory that messages, requests and responses may use together, in bytes. As much is left for free
+    /// memory that the allocator cannot return to the system.
+    fn memory_for_requests(self) -> usize {
+        self.memory_bytes.saturating_sub(PROGRAM_BYTES) / 4
+    }
+}
+
 /// Configured timeouts from which limits are derived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestTimes {
@@ -231,7 +256,7 @@
         let ProcessResources { descriptors, memory_bytes } = resources;
         let RequestTimes { connect_timeout, backend_keepalive, longest_deadline } = times;
         let reserved_descriptors = descriptors::RESERVED;
-        let shares = ConnectionShares::divide(descriptors, reserved_descriptors);
+        let shares = ConnectionShares::divide(resources.usable_descriptors(), reserved_descriptors);
         let shutdown_read_timeout = SHUTDOWN_GRACE_PERIOD + SHUTDOWN_IDLE_CLOSE_DURATION;
         let shutdown_timeout = longest_deadline.max(MIN_SHUTDOWN_TIME) + shutdown_read_timeout;
         let counted_deadline = longest_deadline.min(MAX_COUNTED_DEADLINE);
@@ -241,7 +266,7 @@
             // its size.
             max_message_bytes: 160 * 1024,
             max_value_bytes: 64 * 1024,
-            max_client_memory_bytes: memory_bytes / 4,
+            max_client_memory_bytes: resources.memory_for_requests(),
             max_response_bytes: 4 << 20,
             max_statements_per_client: 1024,
             max_statements_per_connection: 128,
@@ -338,7 +363,8 @@
     /// to half of those, then from client connections: two processes running in parallel have to accept all
     /// connections that the platform's front end opens. If there are few descriptors, fewer admin connections
     /// are allowed.
-    pub fn reserve_admin_descriptors(&mut self, descriptors: usize) {
+    pub fn reserve_admin_descriptors(&mut self, resources: ProcessResources) {
+        let descriptors = resources.usable_descriptors();
         let max_connections = (descriptors.saturating_sub(32) / 16).max(2);
         self.max_admin_connections = self.max_admin_connections.min(max_connections);
         self.reserved_descriptors =
--- a/settings/src/start/config.rs
+++ b/settings/src/start/config.rs
@@ -122,7 +122,7 @@
     limits.check_watch().map_err(|e| Error::from(e).under_key("limits"))?;
     let admin_address = read_admin_address(env, &v)?;
     if admin_address.is_some() {
-        limits.reserve_admin_descriptors(resources.descriptors);
+        limits.reserve_admin_descriptors(resources);
     }
     Ok(PlatformConfig {
         name: env_or_field(env, "BALANCER_NAME", &v, "name")?,
--- a/settings/tests/limits.rs
+++ b/settings/tests/limits.rs
@@ -85,8 +85,9 @@
 fn connections_and_reserved_descriptors_fit_into_the_total() {
     let long = Duration::from_secs(20);
     for sockets in 64..=4096 {
+        let resources = ProcessResources { descriptors: sockets, memory_bytes: 192 << 20 };
         let mut limits = Limits::new(
-            ProcessResources { descriptors: sockets, memory_bytes: 192 << 20 },
+            resources,
             RequestTimes { connect_timeout: long, backend_keepalive: long, longest_deadline: long },
         );
         let total =
@@ -94,7 +95,7 @@
         assert!(total(&limits) <= sockets, "{sockets} descriptors: {} are assigned", total(&limits));
         let (reserved_before, admin_connections_before, clients_before) =
             (limits.reserved_descriptors, limits.max_admin_connections, limits.max_client_connections);
-        limits.reserve_admin_descriptors(sockets);
+        limits.reserve_admin_descriptors(resources);
         // Two processes running in parallel have to accept all connections that the platform's front end
         // opens, with or without an admin listener.
         assert!(sockets < 256 || limits.max_client_connections == clients_before, "{sockets}: {limits:?}");
@@ -121,3 +122,30 @@
     // predecessor may not be closed yet.
     assert!(limits.reserved_descriptors > 2 * (limits.max_pending_watches + 2) + 3 + 2 + 2);
 }
+
+/// Guards against connections that use more memory than the process has, although there are descriptors for them.
+#[test]
+fn connections_use_at_most_half_of_the_memory_that_the_program_leaves() {
+    /// Memory of the program without connections, and of a connection without messages.
+    const PROGRAM_BYTES: usize = 10 << 20;
+    const CONNECTION_BYTES: usize = 24 * 1024;
+    let long = Duration::from_secs(20);
+    let times = RequestTimes { connect_timeout: long, backend_keepalive: long, longest_deadline: long };
+    for memory_mb in [16, 32, 64, 192] {
+        for descriptors in [256, 1024] {
+            let resources = ProcessResources { descriptors, memory_bytes: memory_mb << 20 };
+            let mut limits = Limits::new(resources, times);
+            for _ in 0..2 {
+                let connections = limits.max_client_connections + limits.max_backend_connections;
+                let available = (resources.memory_bytes - PROGRAM_BYTES) / 2;
+                assert!(connections * CONNECTION_BYTES <= available, "{resources:?}: {connections}");
+                let sum = PROGRAM_BYTES + connections * CONNECTION_BYTES + limits.max_client_memory_bytes;
+                assert!(sum <= resources.memory_bytes, "{resources:?}: {sum} bytes");
+                limits.reserve_admin_descriptors(resources);
+            }
+            // As many clients as the platform opens connections for requests.
+            let is_expected = limits.max_client_connections >= limits.expected_request_connections;
+            assert!(memory_mb < 32 || is_expected, "{resources:?}: {limits:?}");
+        }
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -55,6 +55,7 @@
 /// Runs the program with its command-line arguments. On failure, the error is reported in the log, or on
 /// standard error if the log was not initialized yet.
 pub fn main() -> ExitCode {
+    crate::allocator::limit_retained_memory();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 //! with a timeout that only a failure reaches.
 #![allow(dead_code, reason = "each test file uses only some of these helpers")]
 pub(crate) mod client;
+pub(crate) mod crowd;
 pub(crate) mod discovery;
 pub(crate) mod environment;
 pub(crate) mod installation;
