MySQL: all that clients make the process hold is drawn from one memory budget

Cause: only one command and one response had a limit each; queued commands, prepared statements, long parameters, comment fields, normalized texts, cursors and responses had none together.

Change: commands, requests, statements, long parameters, responses and cursors reserve from one pool; what does not fit is refused with 1040 before it runs, a response waits for memory. Comment fields that the router does not use are not kept, a text is not held in two scans at once, and a response is written in parts. Clients are limited by the memory of their two threads.

--- a/client-listener/src/memory.rs
+++ b/client-listener/src/memory.rs
@@ -55,6 +55,11 @@
         self.state().available_bytes
     }
 
+    /// Returns the size of the pool, in bytes.
+    pub fn size(&self) -> usize {
+        self.state().size
+    }
+
     /// Increases the size of the pool by `bytes`, or decreases it if they are negative. Existing reservations
     /// are not affected.
     pub fn resize_by(&self, bytes: isize) {
@@ -103,6 +108,8 @@
     /// A client without any response in memory gets more than its share if its response is longer.
     pub fn reserve_response(&self, bytes: usize, deadline: Instant) -> Option<ResponseMemory> {
         let mut state = self.pool.state();
+        // A response that is as long as the whole pool gets all of it.
+        let bytes = bytes.min(state.size);
         loop {
             let mut used = self.response_bytes();
             let share = state.size / RESPONSE_SHARE_DIVISOR;
@@ -200,6 +207,17 @@
         is_reserved
     }
 
+    /// Returns the number of reserved bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Moves what is reserved to another reservation; nothing is left in this one.
+    #[must_use]
+    pub fn take(&mut self) -> MemoryReservation {
+        MemoryReservation { pool: self.pool.clone(), bytes: std::mem::take(&mut self.bytes) }
+    }
+
     /// Returns all reserved bytes to the pool.
     pub fn release(&mut self) {
         self.pool.release(std::mem::take(&mut self.bytes));
--- a/mysql/src/backend.rs
+++ b/mysql/src/backend.rs
@@ -3,6 +3,7 @@
 //! earlier one left in the session. A statement is prepared on the connection that executes it.
 mod connection;
 mod probe;
+mod response_budget;
 mod server_response;
 mod session_reset;
 mod statement_cache;
@@ -12,7 +13,7 @@
 use crate::errors::{self, ServerErrorMeaning};
 use crate::login::{Credentials, LoginError, login};
 use crate::packet::PacketReader;
-use crate::request::{Request, ResponsePayloads};
+use crate::request::{AccountedRequest, Request, Response};
 use connection::ConnectionContext;
 use routing::{
     AttemptGuard, BackendProtocol, Clock, Connection, ConnectionPermit, Exchange, ExchangeResult, Handshake,
@@ -53,8 +54,8 @@
 }
 
 impl BackendProtocol for Mysql {
-    type Payload = Request;
-    type Response = ResponsePayloads;
+    type Payload = AccountedRequest;
+    type Response = Response;
     type Connection = MysqlConnection;
 
     fn connect(&self, addr: SocketAddr, permit: ConnectionPermit) -> Result<MysqlConnection, Outcome> {
@@ -114,14 +115,14 @@
         &mut self,
         exchange: Exchange<'_, Mysql>,
         guard: &AttemptGuard,
-    ) -> Result<ExchangeResult<ResponsePayloads>, NotSent> {
-        match exchange {
+    ) -> Result<ExchangeResult<Response>, NotSent> {
+        let result = match exchange {
             Exchange::Probe => {
                 self.begin_probe();
                 self.probe(guard)
             }
-            Exchange::Attempt(request, deadline) => {
-                self.begin_attempt(deadline);
+            Exchange::Attempt(AccountedRequest { request, memory }, deadline) => {
+                self.begin_attempt(deadline, memory);
                 match request {
                     Request::Query(text) => self.query(text, guard),
                     Request::Prepare(text) => self.describe_statement(text, guard),
@@ -130,6 +131,8 @@
                     }
                 }
             }
-        }
+        };
+        let memory = self.end_response();
+        Ok(result?.map_response(|payloads| Response { payloads, memory }))
     }
 }
--- a/mysql/src/backend/connection.rs
+++ b/mysql/src/backend/connection.rs
@@ -1,5 +1,6 @@
 //! An authenticated connection to one server: sends commands and reads their responses.
 use super::probe::ProbeRow;
+use super::response_budget::ResponseBudget;
 use super::server_response::{
     PrepareOk, PrepareOutcome, ResponseError, SentCommand, ServerResponse, ServerResult, error_result,
     is_atomic, is_error, is_unknown_statement, open_transaction_result, reusable_result,
@@ -12,6 +13,7 @@
 use crate::packet::{PACKET_HEADER_BYTES, PacketReader, ReadError, frame_command};
 use crate::request::{LongParameters, ResponsePayloads};
 use crate::results::ResponseState;
+use client_listener::memory::{ClientMemory, ResponseMemory};
 use routing::{
     AttemptGuard, Clock, ConnectionPermit, ExchangeResult, MemberReport, NotSent, Outcome, ServerSocket,
     Time, WritePermit,
@@ -43,6 +45,8 @@
     /// Statements that are prepared in the session.
     statements: StatementCache,
     session: SessionState,
+    /// Memory of the response to the current request; `None` during a probe.
+    response_budget: Option<ResponseBudget>,
 }
 
 impl MysqlConnection {
@@ -53,7 +57,7 @@
         context: ConnectionContext,
     ) -> MysqlConnection {
         let (statements, session) = (StatementCache::default(), SessionState::Clean);
-        MysqlConnection { socket, reader, deadline, context, statements, session }
+        MysqlConnection { socket, reader, deadline, context, statements, session, response_budget: None }
     }
 
     pub(super) fn server_socket(&self) -> ServerSocket {
@@ -96,13 +100,19 @@
 
     /// Sets the deadline of an exchange whose client waits until `deadline`. From here on the request may leave
     /// anything in the session: settings, locks, a transaction, temporary tables, its last insert ID.
-    pub(super) fn begin_attempt(&mut self, deadline: Instant) {
+    pub(super) fn begin_attempt(&mut self, deadline: Instant, memory: &ClientMemory) {
         self.session = SessionState::Used;
+        self.response_budget = Some(ResponseBudget::new(memory, deadline));
         let now = Instant::now();
         self.deadline =
             now + deadline.saturating_duration_since(now) + self.context.limits.abandoned_response_timeout;
     }
 
+    /// Returns the memory that is reserved for the response to the current request.
+    pub(super) fn end_response(&mut self) -> Option<ResponseMemory> {
+        self.response_budget.take().and_then(ResponseBudget::into_memory)
+    }
+
     /// Sets the deadline of a probe.
     pub(super) fn begin_probe(&mut self) {
         self.deadline = Instant::now() + self.context.limits.health_check_timeout;
@@ -280,6 +290,11 @@
             expected_sequence = packet.last_sequence.wrapping_add(1);
             state.advance(&packet.payload);
             bytes += packet.payload.len() + PACKET_HEADER_BYTES;
+            if let Some(budget) = &mut self.response_budget
+                && !budget.add_payload(packet.payload.len(), self.context.limits.max_response_bytes)
+            {
+                return Err(ResponseError::Failed(Outcome::TimedOut));
+            }
             if bytes > self.context.limits.max_response_bytes {
                 return Err(ResponseError::TooLarge);
             }
--- a/mysql/src/backend/server_response.rs
+++ b/mysql/src/backend/server_response.rs
@@ -28,7 +28,7 @@
             }
             ReadError::IdleTimeout => ResponseError::Failed(Outcome::TimedOut),
             ReadError::TooLong => ResponseError::TooLarge,
-            ReadError::Io(_) | ReadError::Closed | ReadError::OutOfOrder => {
+            ReadError::Io(_) | ReadError::Closed | ReadError::OutOfMemory | ReadError::OutOfOrder => {
                 ResponseError::Failed(Outcome::Reset)
             }
         }
--- a/mysql/src/errors.rs
+++ b/mysql/src/errors.rs
@@ -39,6 +39,8 @@
 
 /// The request was rejected and did not run, so it can be retried.
 pub const REJECTED: ErrorCode = error_code(1040, "08004");
+/// Message of a rejection for lack of memory.
+pub const OUT_OF_MEMORY_TEXT: &str = "refused: nothing ran: too much is under way";
 /// The response timed out. The statement may have run.
 pub const TIMED_OUT: ErrorCode = error_code(3024, "HY000");
 /// The connection to the server was reset. The statement may have run.
--- a/mysql/src/front.rs
+++ b/mysql/src/front.rs
@@ -35,7 +35,7 @@
             connection.set_close_reason(CloseReason::NoThread);
             return self.reject(connection);
         };
-        let mut reader = PacketReader::new(self.limits.max_message_bytes);
+        let mut reader = PacketReader::pooled(self.limits.max_message_bytes, &self.memory);
         if let Ok(login) = login::log_in(&client, &mut reader) {
             // An authenticated client counts as active, because it is expected to send requests.
             connection.record_request();
--- a/mysql/src/front/client_link.rs
+++ b/mysql/src/front/client_link.rs
@@ -6,6 +6,9 @@
 use std::io;
 use std::net::SocketAddr;
 
+/// Length of a response from which on it is written in parts, in bytes.
+const MAX_WRITE_BYTES: usize = 32 * 1024;
+
 /// The connection was closed or has to be closed.
 #[derive(Debug)]
 pub(super) struct ConnectionEnded;
@@ -32,6 +35,11 @@
         let mut packets = Vec::new();
         let mut next = sequence.wrapping_add(1);
         for payload in payloads {
+            // A long response is written in parts, so that there is no second copy of it.
+            if packets.len() + payload.as_ref().len() > MAX_WRITE_BYTES && !packets.is_empty() {
+                self.write_packets(&packets)?;
+                packets.clear();
+            }
             next = push_packets(&mut packets, next, payload.as_ref());
         }
         self.write_packets(&packets)
@@ -65,6 +73,7 @@
             ReadError::OutOfOrder => {
                 self.close_with_error(0, errors::OUT_OF_ORDER, "packets came out of order")
             }
+            ReadError::OutOfMemory => self.close_with_error(0, errors::REJECTED, errors::OUT_OF_MEMORY_TEXT),
             ReadError::Closed | ReadError::IdleTimeout | ReadError::Io(_) => Err(ConnectionEnded),
         }
     }
--- a/mysql/src/front/command_reader.rs
+++ b/mysql/src/front/command_reader.rs
@@ -78,6 +78,6 @@
     match error {
         ReadError::Closed => true,
         ReadError::Io(error) => !is_timeout(error),
-        ReadError::IdleTimeout | ReadError::TooLong | ReadError::OutOfOrder => false,
+        ReadError::IdleTimeout | ReadError::TooLong | ReadError::OutOfMemory | ReadError::OutOfOrder => false,
     }
 }
--- a/mysql/src/front/session.rs
+++ b/mysql/src/front/session.rs
@@ -10,10 +10,11 @@
 use crate::fields::FieldReader;
 use crate::packet::{Packet, PacketReader, ReadError};
 use crate::prepared::PreparedStatement;
-use crate::request::{Request, ResponsePayloads};
+use crate::request::{AccountedRequest, Request, Response, ResponsePayloads};
 use crate::requirements::Requirements;
 use crate::results::{AUTOCOMMIT, OK, encode_eof, encode_single_row};
 use crate::statement::scan;
+use client_listener::memory::{ClientMemory, MemoryReservation};
 use crossbeam_channel::Receiver;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -24,18 +25,29 @@
 /// Statement ID that the router assigned.
 type StatementId = u32;
 
+/// Memory of a request for each byte of its text or body, which is in the command, in the request, and in up to three
+/// normalized forms.
+const REQUEST_COPIES: usize = 5;
+/// Memory of a request or of a prepared statement besides its text, in bytes: its records in the front, the routing core and the
+/// decision module, and its attempts.
+const REQUEST_BYTES: usize = 2048;
+
 /// Response to a command.
-enum Response {
+enum CommandResponse {
     /// Payloads that have not been framed yet.
-    Payloads(ResponsePayloads),
+    Payloads(Response),
     /// Packets that are encoded, ready to be sent.
     Packets(Vec<u8>),
     /// The command has no response.
     None,
 }
 
-fn ok_response() -> Response {
-    Response::Payloads(vec![OK.to_vec()])
+fn ok_response() -> CommandResponse {
+    short_response(vec![OK.to_vec()])
+}
+
+fn short_response(payloads: ResponsePayloads) -> CommandResponse {
+    CommandResponse::Payloads(Response { payloads, memory: None })
 }
 
 /// Session of a client that has logged in.
@@ -44,11 +56,14 @@
     login: AuthenticatedClient,
     statements: HashMap<StatementId, PreparedStatement>,
     last_statement_id: StatementId,
+    /// Account of the memory of the client's responses.
+    memory: ClientMemory,
 }
 
 impl<'a> Session<'a> {
     pub(super) fn new(client: ClientLink<'a>, login: AuthenticatedClient) -> Session<'a> {
-        Session { client, login, statements: HashMap::new(), last_statement_id: 0 }
+        let memory = ClientMemory::new(&client.front.memory);
+        Session { client, login, statements: HashMap::new(), last_statement_id: 0, memory }
     }
 
     /// Executes commands until the connection ends.
@@ -99,21 +114,23 @@
             return Err(ConnectionEnded);
         }
         match self.dispatch_command(name, body) {
-            Ok(Response::Payloads(payloads)) => self.client.write_payloads(packet.last_sequence, &payloads),
-            Ok(Response::Packets(packets)) => self.client.write_packets(&packets),
-            Ok(Response::None) => Ok(()),
+            Ok(CommandResponse::Payloads(response)) => {
+                self.client.write_payloads(packet.last_sequence, &response.payloads)
+            }
+            Ok(CommandResponse::Packets(packets)) => self.client.write_packets(&packets),
+            Ok(CommandResponse::None) => Ok(()),
             Err(error) => self.client.write_payloads(packet.last_sequence, &[error.encode()]),
         }
     }
 
-    fn dispatch_command(&mut self, name: u8, body: &[u8]) -> Result<Response, CommandError> {
+    fn dispatch_command(&mut self, name: u8, body: &[u8]) -> Result<CommandResponse, CommandError> {
         match name {
             command::PING => Ok(ok_response()),
             command::INIT_DB => self.use_database(&String::from_utf8_lossy(body)),
             command::QUERY => self.query(body),
-            command::STMT_PREPARE => self.prepare(body).map(Response::Payloads),
-            command::STMT_EXECUTE => self.execute(body).map(Response::Payloads),
-            command::STMT_FETCH => self.fetch(body).map(Response::Payloads),
+            command::STMT_PREPARE => self.prepare(body).map(CommandResponse::Payloads),
+            command::STMT_EXECUTE => self.execute(body).map(CommandResponse::Payloads),
+            command::STMT_FETCH => self.fetch(body).map(short_response),
             command::STMT_SEND_LONG_DATA => Ok(self.add_long_data(body)),
             command::STMT_CLOSE => Ok(self.close_statement(body)),
             command::STMT_RESET => {
@@ -132,7 +149,7 @@
         }
     }
 
-    fn use_database(&self, name: &str) -> Result<Response, CommandError> {
+    fn use_database(&self, name: &str) -> Result<CommandResponse, CommandError> {
         if name.trim_matches('`') == self.client.front.settings().database {
             return Ok(ok_response());
         }
@@ -162,21 +179,37 @@
 
     /// Runs a statement that was sent as text. The router itself responds to statements about its own
     /// database, system variables and session defaults.
-    fn query(&mut self, body: &[u8]) -> Result<Response, CommandError> {
+    fn query(&mut self, body: &[u8]) -> Result<CommandResponse, CommandError> {
+        let _memory = self.reserve_request(body.len())?;
         let statement = std::str::from_utf8(body).map(scan).unwrap_or_default();
         if let Some(database) = statement.normalized.strip_prefix("use ") {
             return self.use_database(database);
         }
         let max_allowed_packet = self.client.front.limits.max_message_bytes;
         if let Some(variables) = statement.selected_system_variables(max_allowed_packet) {
-            return Ok(Response::Packets(encode_single_row(&variables)));
+            return Ok(CommandResponse::Packets(encode_single_row(&variables)));
         }
         if statement.sets_default_state() {
             return Ok(ok_response());
         }
+        drop(statement);
         let requirements = self.requirements(body)?;
         let request = Request::Query(body.to_vec());
-        self.submit(&requirements, requirements.class, request).map(Response::Payloads)
+        self.submit(&requirements, requirements.class, request).map(CommandResponse::Payloads)
+    }
+
+    /// Reserves the memory of a request with this length.
+    fn reserve_request(&self, bytes: usize) -> Result<MemoryReservation, CommandError> {
+        self.reserve(REQUEST_COPIES * bytes + REQUEST_BYTES)
+    }
+
+    fn reserve(&self, bytes: usize) -> Result<MemoryReservation, CommandError> {
+        let mut memory = MemoryReservation::new(&self.client.front.memory);
+        if memory.grow_to(bytes) {
+            Ok(memory)
+        } else {
+            Err(CommandError::new(errors::REJECTED, errors::OUT_OF_MEMORY_TEXT))
+        }
     }
 
     fn submit(
@@ -184,26 +217,35 @@
         requirements: &Requirements,
         class: usize,
         request: Request,
-    ) -> Result<ResponsePayloads, CommandError> {
+    ) -> Result<Response, CommandError> {
+        let request = AccountedRequest { request, memory: self.memory.clone() };
         let ClientLink { front, connection, .. } = self.client;
         Submitter { front, connection, user: &self.login.user }.submit(requirements, class, request)
     }
 
-    fn prepare(&mut self, body: &[u8]) -> Result<ResponsePayloads, CommandError> {
+    fn prepare(&mut self, body: &[u8]) -> Result<Response, CommandError> {
+        let _memory = self.reserve_request(body.len())?;
         let requirements = self.requirements(body)?;
         let max_statements = self.client.front.limits.max_statements_per_client;
         if self.statements.len() >= max_statements {
             let text = format!("one client may hold {max_statements} prepared statements");
             return Err(CommandError::new(errors::TOO_MANY_STATEMENTS, text));
         }
+        let statement_memory = self.reserve(body.len() + REQUEST_BYTES)?;
         let text: Arc<[u8]> = body.into();
         let class = self.client.front.settings().prepare_class;
         let mut response = self.submit(&requirements, class, Request::Prepare(text.clone()))?;
-        if let Some(parameter_count) = prepared_parameter_count(&response[0]) {
+        if let Some(parameter_count) = prepared_parameter_count(&response.payloads[0]) {
             self.last_statement_id = self.last_statement_id.wrapping_add(1).max(1);
             // Replace the server's statement ID with the router's.
-            response[0][1..5].copy_from_slice(&self.last_statement_id.to_le_bytes());
-            let statement = PreparedStatement::new(text, requirements, parameter_count);
+            response.payloads[0][1..5].copy_from_slice(&self.last_statement_id.to_le_bytes());
+            let statement = PreparedStatement::new(
+                text,
+                requirements,
+                parameter_count,
+                statement_memory,
+                &self.client.front.memory,
+            );
             self.statements.insert(self.last_statement_id, statement);
         }
         Ok(response)
@@ -221,10 +263,13 @@
         }
     }
 
-    fn execute(&mut self, body: &[u8]) -> Result<ResponsePayloads, CommandError> {
+    fn execute(&mut self, body: &[u8]) -> Result<Response, CommandError> {
+        let text_bytes = self.statement(body)?.statement.text.len();
+        let memory = self.reserve_request(text_bytes + body.len());
         let StatementCommand { statement, rest } = self.statement(body)?;
         statement.cursor = None;
-        let long_parameters = std::mem::take(&mut statement.long_parameters);
+        let (long_parameters, _long_parameter_memory) = statement.take_long_parameters();
+        let _memory = memory?;
         if std::mem::take(&mut statement.long_parameters_rejected) {
             let text = "a long parameter is longer than what is taken";
             return Err(CommandError::new(errors::TOO_LARGE, text));
@@ -243,7 +288,7 @@
         match Cursor::open(response) {
             Ok(OpenedCursor { column_payloads, cursor }) => {
                 self.statement(body)?.statement.cursor = Some(cursor);
-                Ok(column_payloads)
+                Ok(Response { payloads: column_payloads, memory: None })
             }
             Err(response) => Ok(response),
         }
@@ -260,20 +305,20 @@
     }
 
     /// Stores a part of a long parameter. The command has no response, even if the statement is unknown.
-    fn add_long_data(&mut self, body: &[u8]) -> Response {
+    fn add_long_data(&mut self, body: &[u8]) -> CommandResponse {
         let max_bytes = self.client.front.limits.max_message_bytes;
         if let Ok(StatementCommand { statement, rest }) = self.statement(body) {
             statement.add_long_parameter_part(rest, max_bytes);
         }
-        Response::None
+        CommandResponse::None
     }
 
     /// Closes a prepared statement. The command has no response, even if the statement is unknown.
-    fn close_statement(&mut self, body: &[u8]) -> Response {
+    fn close_statement(&mut self, body: &[u8]) -> CommandResponse {
         if let Some(id) = FieldReader::new(body).integer(4) {
             self.statements.remove(&(id as StatementId));
         }
-        Response::None
+        CommandResponse::None
     }
 }
 
@@ -288,9 +333,9 @@
 }
 
 /// Accepts only the option that disables multi-statements.
-fn set_option(body: &[u8]) -> Result<Response, CommandError> {
+fn set_option(body: &[u8]) -> Result<CommandResponse, CommandError> {
     if body == MULTI_STATEMENTS_OFF {
-        return Ok(Response::Payloads(vec![encode_eof(AUTOCOMMIT).to_vec()]));
+        return Ok(short_response(vec![encode_eof(AUTOCOMMIT).to_vec()]));
     }
     Err(CommandError::new(errors::UNSUPPORTED, "several statements in one text are not carried"))
 }
--- a/mysql/src/front/shared.rs
+++ b/mysql/src/front/shared.rs
@@ -1,6 +1,7 @@
 //! State that all client connections share.
 use crate::backend::Mysql;
 use crate::tap::Tap;
+use client_listener::memory::MemoryPool;
 use routing::RouterHandle;
 use sessions::node::Sessions;
 use settings::Limits;
@@ -16,6 +17,8 @@
     /// Observer of client traffic, if traffic is recorded.
     pub(super) tap: Option<Arc<dyn Tap>>,
     pub(super) sessions: Arc<Sessions>,
+    /// Memory for commands, prepared statements, requests, responses and cursors of clients.
+    pub(super) memory: MemoryPool,
     /// Client of the fleet, which admits requests within the tenants' quotas. `None` without a fleet.
     pub(super) fleet: Option<fleet::FleetClient>,
 }
@@ -31,7 +34,8 @@
         sessions: Arc<Sessions>,
         fleet: Option<fleet::FleetClient>,
     ) -> Arc<Front> {
-        Arc::new(Front { router, settings: RwLock::new(settings), limits, tap, sessions, fleet })
+        let memory = MemoryPool::new(limits.max_client_memory_bytes);
+        Arc::new(Front { router, settings: RwLock::new(settings), limits, tap, sessions, memory, fleet })
     }
 
     /// Replaces the users, the rules and the default group with those of `settings`.
--- a/mysql/src/front/submission.rs
+++ b/mysql/src/front/submission.rs
@@ -1,7 +1,7 @@
 //! Submits a request to the routing core and waits for its final response.
 use super::shared::Front;
 use crate::errors::{self, CommandError};
-use crate::request::{Request, ResponsePayloads};
+use crate::request::{AccountedRequest, Request, Response};
 use crate::requirements::Requirements;
 use client_listener::Connection;
 use crossbeam_channel::bounded;
@@ -24,8 +24,8 @@
         &self,
         requirements: &Requirements,
         class: usize,
-        request: Request,
-    ) -> Result<ResponsePayloads, CommandError> {
+        request: AccountedRequest,
+    ) -> Result<Response, CommandError> {
         let now = self.front.router.clock.now();
         let settings = self.front.settings();
         let sessions = &self.front.sessions;
@@ -49,7 +49,8 @@
             deadline,
             session_commit,
             // Preparing a statement does not run it.
-            may_run_partially: requirements.may_run_partially && !matches!(request, Request::Prepare(_)),
+            may_run_partially: requirements.may_run_partially
+                && !matches!(request.request, Request::Prepare(_)),
             payload: request,
             response_sender: sender,
         };
@@ -68,7 +69,8 @@
             let text = "it has run, but its session can't rely on it";
             return Err(CommandError::new(errors::TIMED_OUT, text));
         }
-        Ok(errors::encode_final_response(response).map_or_else(|served| served, |error| vec![error]))
+        let encoded = errors::encode_final_response(response);
+        Ok(encoded.map_or_else(|served| served, |error| Response { payloads: vec![error], memory: None }))
     }
 
     /// A connection without a named session is a session of its own, in which it reads its own writes.
--- a/mysql/src/packet.rs
+++ b/mysql/src/packet.rs
@@ -1,5 +1,6 @@
 //! Framing of packets. Each packet consists of a length of three bytes, a sequence number and a payload. A
 //! payload of 2^24 - 1 bytes or more continues in the next packet.
+use client_listener::memory::{MemoryPool, MemoryReservation};
 use std::io::{self, IoSlice, Read, Write};
 use std::net::TcpStream;
 
@@ -10,11 +11,13 @@
 pub const PACKET_HEADER_BYTES: usize = 4;
 /// Size of the buffer for reads from the socket.
 const READ_BUFFER_BYTES: usize = 4096;
+/// Memory of a packet besides its payload, in bytes.
+const PACKET_RECORD_BYTES: usize = 128;
 /// Number of bytes by which a payload's buffer grows while the payload is read.
 const PAYLOAD_GROWTH_BYTES: usize = 16 * 1024;
 
 /// A payload and the sequence numbers of its packets.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Packet {
     /// Sequence number of the payload's first packet.
     pub first_sequence: u8,
@@ -22,6 +25,15 @@
     pub last_sequence: u8,
     /// The complete payload, without packet headers.
     pub payload: Vec<u8>,
+    /// Memory of the payload, if the reader reserves it.
+    memory: Option<MemoryReservation>,
+}
+
+impl Packet {
+    /// Returns the number of bytes that are reserved for the payload.
+    pub fn reserved_bytes(&self) -> usize {
+        self.memory.as_ref().map_or(0, MemoryReservation::bytes)
+    }
 }
 
 /// Reason why no payload could be read.
@@ -39,6 +51,9 @@
     /// The payload exceeds the reader's limit.
     #[error("payload exceeds the maximum length")]
     TooLong,
+    /// There is no memory for the payload.
+    #[error("no memory is left for the payload")]
+    OutOfMemory,
     /// A continuation packet has an unexpected sequence number.
     #[error("packet has an unexpected sequence number")]
     OutOfOrder,
@@ -57,12 +72,19 @@
     start: usize,
     end: usize,
     max_payload_bytes: usize,
+    /// Pool from which the memory of payloads is reserved.
+    pool: Option<MemoryPool>,
 }
 
 impl PacketReader {
     /// Creates a reader that accepts payloads of up to `max_payload_bytes`.
     pub fn new(max_payload_bytes: usize) -> Self {
-        PacketReader { bytes: vec![0; READ_BUFFER_BYTES], start: 0, end: 0, max_payload_bytes }
+        PacketReader { bytes: vec![0; READ_BUFFER_BYTES], start: 0, end: 0, max_payload_bytes, pool: None }
+    }
+
+    /// Creates a reader for a client's commands, which reserves the memory of payloads in the pool.
+    pub fn pooled(max_payload_bytes: usize, pool: &MemoryPool) -> Self {
+        PacketReader { pool: Some(pool.clone()), ..PacketReader::new(max_payload_bytes) }
     }
 
     /// Returns whether the buffer holds no unread bytes.
@@ -78,6 +100,7 @@
     pub fn read_packet(&mut self, mut from: impl Read) -> Result<Packet, ReadError> {
         let (mut payload, mut first_sequence, mut expected) = (Vec::new(), 0, None);
         let mut state = ReadState::BeforePayload;
+        let mut memory = self.pool.as_ref().map(MemoryReservation::new);
         loop {
             let mut header = [0; PACKET_HEADER_BYTES];
             self.read_exact(&mut from, &mut header, state)?;
@@ -89,9 +112,9 @@
                 Some(expected) if expected != sequence => return Err(ReadError::OutOfOrder),
                 Some(_) => {}
             }
-            self.read_payload(&mut from, &mut payload, length)?;
+            self.read_payload(&mut from, &mut payload, &mut memory, length)?;
             if length < MAX_PACKET_PAYLOAD {
-                return Ok(Packet { first_sequence, last_sequence: sequence, payload });
+                return Ok(Packet { first_sequence, last_sequence: sequence, payload, memory });
             }
             expected = Some(sequence.wrapping_add(1));
         }
@@ -103,6 +126,7 @@
         &mut self,
         mut from: impl Read,
         payload: &mut Vec<u8>,
+        memory: &mut Option<MemoryReservation>,
         length: usize,
     ) -> Result<(), ReadError> {
         let end = payload.len() + length;
@@ -111,7 +135,14 @@
         }
         while payload.len() < end {
             let start = payload.len();
-            payload.resize(end.min(start + PAYLOAD_GROWTH_BYTES), 0);
+            let next_end = end.min(start + PAYLOAD_GROWTH_BYTES);
+            if let Some(memory) = memory {
+                if !memory.grow_message_to(PACKET_RECORD_BYTES + next_end) {
+                    return Err(ReadError::OutOfMemory);
+                }
+                payload.reserve_exact(next_end - start);
+            }
+            payload.resize(next_end, 0);
             self.read_exact(&mut from, &mut payload[start..], ReadState::WithinPayload)?;
         }
         Ok(())
--- a/mysql/src/prepared.rs
+++ b/mysql/src/prepared.rs
@@ -4,10 +4,13 @@
 use crate::fields::FieldReader;
 use crate::request::LongParameters;
 use crate::requirements::Requirements;
+use client_listener::memory::{MemoryPool, MemoryReservation};
 use std::sync::Arc;
 
 /// Flag of an execution that opens a read-only cursor. No other cursor type is supported.
 const READ_ONLY_CURSOR: u64 = 1;
+/// Memory of a long parameter for each of its bytes: its buffer grows up to twice its length.
+const LONG_PARAMETER_COPIES: usize = 2;
 /// Length of a parameter type, in bytes.
 const PARAMETER_TYPE_BYTES: usize = 2;
 
@@ -25,6 +28,10 @@
     pub long_parameters_rejected: bool,
     /// Open cursor, if there is one.
     pub cursor: Option<Cursor>,
+    /// Memory of the statement itself.
+    _memory: MemoryReservation,
+    /// Memory of the long parameters.
+    long_parameter_memory: MemoryReservation,
 }
 
 /// Number and types of a statement's parameters.
@@ -45,8 +52,14 @@
 }
 
 impl PreparedStatement {
-    /// Creates the state of a newly prepared statement.
-    pub fn new(text: Arc<[u8]>, requirements: Requirements, parameter_count: usize) -> Self {
+    /// Creates the state of a newly prepared statement. `memory` is what is reserved for it.
+    pub fn new(
+        text: Arc<[u8]>,
+        requirements: Requirements,
+        parameter_count: usize,
+        memory: MemoryReservation,
+        pool: &MemoryPool,
+    ) -> Self {
         PreparedStatement {
             text,
             requirements,
@@ -54,12 +67,15 @@
             long_parameters: LongParameters::new(),
             long_parameters_rejected: false,
             cursor: None,
+            _memory: memory,
+            long_parameter_memory: MemoryReservation::new(pool),
         }
     }
 
     /// Discards the long parameters and the cursor.
     pub fn reset(&mut self) {
         self.long_parameters.clear();
+        self.long_parameter_memory.release();
         self.long_parameters_rejected = false;
         self.cursor = None;
     }
@@ -71,7 +87,12 @@
         let index = fields.integer(2).filter(|index| (*index as usize) < self.parameters.count);
         let bytes: usize = self.long_parameters.values().map(Vec::len).sum();
         match index {
-            Some(index) if bytes + fields.rest().len() <= max_bytes => {
+            Some(index)
+                if bytes + fields.rest().len() <= max_bytes
+                    && self
+                        .long_parameter_memory
+                        .grow_message_to(LONG_PARAMETER_COPIES * (bytes + fields.rest().len())) =>
+            {
                 self.long_parameters.entry(index as u16).or_default().extend_from_slice(fields.rest());
             }
             _ => self.long_parameters_rejected = true,
@@ -79,6 +100,14 @@
     }
 }
 
+impl PreparedStatement {
+    /// Removes the long parameters and their memory, which is released when the reservation is dropped.
+    pub fn take_long_parameters(&mut self) -> (LongParameters, MemoryReservation) {
+        let memory = self.long_parameter_memory.take();
+        (std::mem::take(&mut self.long_parameters), memory)
+    }
+}
+
 impl Parameters {
     /// Parses the payload of an execution after the statement ID. Returns `None` if it is malformed. The body
     /// always contains the parameter types, because each execution may use another server connection.
--- a/mysql/src/request.rs
+++ b/mysql/src/request.rs
@@ -1,4 +1,5 @@
 //! Requests and responses that client connections and server connections exchange through the routing core.
+use client_listener::memory::{ClientMemory, ResponseMemory};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -23,5 +24,23 @@
     },
 }
 
+/// A client's request, and the account on which the memory of its response is reserved.
+#[derive(Debug)]
+pub struct AccountedRequest {
+    /// The request.
+    pub request: Request,
+    /// Account of the client's responses.
+    pub memory: ClientMemory,
+}
+
+/// A server's response together with its memory, which is released when this is dropped.
+#[derive(Debug)]
+pub struct Response {
+    /// The payloads, in order.
+    pub payloads: ResponsePayloads,
+    /// Memory of the payloads; `None` if the response is short.
+    pub memory: Option<ResponseMemory>,
+}
+
 /// Payloads of a server's response, in order.
 pub type ResponsePayloads = Vec<Vec<u8>>;
--- a/mysql/src/statement.rs
+++ b/mysql/src/statement.rs
@@ -15,6 +15,9 @@
     "update", "delete", "create", "alter", "drop", "truncate",
 ];
 
+/// Names of the comment fields that are kept: class, group, wait time, session and tenant.
+const COMMENT_FIELD_NAMES: [&str; 5] = ["c", "cluster", "d", "s", "t"];
+
 /// A `name=value` field in a comment.
 #[derive(Debug)]
 struct CommentField {
--- a/mysql/src/statement/scanner.rs
+++ b/mysql/src/statement/scanner.rs
@@ -1,5 +1,5 @@
 //! Normalizes the text of a statement and extracts the fields of its comments.
-use super::{CommentField, ScannedStatement};
+use super::{COMMENT_FIELD_NAMES, CommentField, ScannedStatement};
 use std::iter::Peekable;
 use std::str::CharIndices;
 
@@ -149,12 +149,15 @@
                 ..ScannedStatement::default()
             }));
         }
-        let pairs = self.comments.split(',').filter_map(|pair| pair.split_once('='));
-        let fields = pairs.map(|(name, value)| CommentField {
-            name: name.trim().to_string(),
-            value: value.trim().to_string(),
-        });
-        self.statement.comment_fields = fields.collect();
+        for pair in self.comments.split(',') {
+            let Some((name, value)) = pair.split_once('=') else { continue };
+            let (name, value) = (name.trim(), value.trim());
+            let is_first = self.statement.comment_field(name).is_none();
+            if COMMENT_FIELD_NAMES.contains(&name) && is_first {
+                let field = CommentField { name: name.to_string(), value: value.to_string() };
+                self.statement.comment_fields.push(field);
+            }
+        }
         self.statement
     }
 }
--- a/mysql/tests/cancelled_attempts.rs
+++ b/mysql/tests/cancelled_attempts.rs
@@ -1,8 +1,9 @@
 //! Checks which commands a server receives if an attempt is cancelled before its execution. The tests use
 //! loopback sockets.
+use client_listener::memory::{ClientMemory, MemoryPool};
 use mysql_wire::backend::{Mysql, MysqlConnection};
 use mysql_wire::command;
-use mysql_wire::request::Request;
+use mysql_wire::request::{AccountedRequest, Request};
 use routing::Denial;
 use routing::protocol::{AttemptGuard, BackendProtocol, Connection, ConnectionPermit, Exchange, NotSent};
 use routing::{Clock, Outcome};
@@ -59,6 +60,8 @@
     guard: &AttemptGuard,
 ) -> Result<Outcome, NotSent> {
     let request = execution(long_parameter);
+    let memory = ClientMemory::new(&MemoryPool::new(1 << 20));
+    let request = AccountedRequest { request, memory };
     let attempt = Exchange::Attempt(&request, Instant::now() + TIMEOUT);
     connection.execute(attempt, guard).map(|result| result.outcome)
 }
--- a/mysql/tests/partial_execution.rs
+++ b/mysql/tests/partial_execution.rs
@@ -1,7 +1,8 @@
 //! Errors that mean "nothing ran": which responses prove it. A statement that may have run in part must never count
 //! as one that did not run, because it would be sent to another server and run twice.
+use client_listener::memory::{ClientMemory, MemoryPool};
 use mysql_wire::backend::Mysql;
-use mysql_wire::request::Request;
+use mysql_wire::request::{AccountedRequest, Request};
 use mysql_wire::results::{MORE_RESULTS, encode_eof};
 use routing::protocol::{AttemptGuard, BackendProtocol, Connection, Exchange};
 use routing::{Clock, ExchangeResult, Outcome};
@@ -56,13 +57,16 @@
 }
 
 /// Runs a request at a server that sends these responses.
-fn run(request: &Request, responses: Vec<Vec<Vec<u8>>>) -> ExchangeResult<Vec<Vec<u8>>> {
+fn run(request: Request, responses: Vec<Vec<Vec<u8>>>) -> ExchangeResult<Vec<Vec<u8>>> {
     let operator = operator::read(include_str!("../../deploy/mysql.toml")).unwrap();
     let protocol = Mysql::new(Arc::new(operator.mysql), Arc::new(operator.limits), Clock::new());
     let guard = AttemptGuard::default();
     let permit = guard.permit_connection().unwrap();
     let mut connection = protocol.connect(start_server(responses), permit).ok().unwrap();
-    connection.execute(Exchange::Attempt(request, Instant::now() + TIMEOUT), &guard).ok().unwrap()
+    let memory = ClientMemory::new(&MemoryPool::new(1 << 20));
+    let request = AccountedRequest { request, memory };
+    let attempt = Exchange::Attempt(&request, Instant::now() + TIMEOUT);
+    connection.execute(attempt, &guard).ok().unwrap().map_response(|response| response.payloads)
 }
 
 fn query(statement: &str) -> Request {
@@ -86,13 +90,13 @@
     for (number, _) in NOTHING_RAN {
         for statement in [CALL, INSERT] {
             let partial = [result_with_more(), vec![error(number)]].concat();
-            assert_eq!(run(&query(statement), vec![partial.clone()]).outcome, Outcome::Error, "{number}");
-            let executed = run(&execution(statement), vec![prepared(), partial]);
+            assert_eq!(run(query(statement), vec![partial.clone()]).outcome, Outcome::Error, "{number}");
+            let executed = run(execution(statement), vec![prepared(), partial]);
             assert_eq!(executed.outcome, Outcome::Error, "{number}");
             let after_ok = vec![[&OK[..3], &[MORE_RESULTS as u8], &OK[4..]].concat(), error(number)];
-            assert_eq!(run(&query(statement), vec![after_ok]).outcome, Outcome::Error, "{number}");
+            assert_eq!(run(query(statement), vec![after_ok]).outcome, Outcome::Error, "{number}");
             let in_rows = vec![vec![1], column("id"), EOF.to_vec(), text("7"), error(number)];
-            assert_eq!(run(&query(statement), vec![in_rows]).outcome, Outcome::Error, "{number}");
+            assert_eq!(run(query(statement), vec![in_rows]).outcome, Outcome::Error, "{number}");
         }
     }
 }
@@ -106,11 +110,11 @@
     {
         for (number, _) in NOTHING_RAN {
             assert_eq!(
-                run(&query(statement), vec![vec![error(number)]]).outcome,
+                run(query(statement), vec![vec![error(number)]]).outcome,
                 Outcome::Error,
                 "{statement}"
             );
-            let executed = run(&execution(statement), vec![prepared(), vec![error(number)]]);
+            let executed = run(execution(statement), vec![prepared(), vec![error(number)]]);
             assert_eq!(executed.outcome, Outcome::Error, "{statement}");
         }
     }
@@ -119,19 +123,16 @@
 #[test]
 fn error_alone_proves_that_an_atomic_statement_did_not_run() {
     for (number, outcome) in NOTHING_RAN {
-        assert_eq!(run(&query(INSERT), vec![vec![error(number)]]).outcome, outcome);
-        assert_eq!(run(&execution(INSERT), vec![prepared(), vec![error(number)]]).outcome, outcome);
+        assert_eq!(run(query(INSERT), vec![vec![error(number)]]).outcome, outcome);
+        assert_eq!(run(execution(INSERT), vec![prepared(), vec![error(number)]]).outcome, outcome);
     }
 }
 
 #[test]
 fn error_of_a_prepare_proves_that_nothing_ran() {
     for (number, outcome) in NOTHING_RAN {
-        assert_eq!(run(&execution(CALL), vec![vec![error(number)]]).outcome, outcome);
-        assert_eq!(
-            run(&Request::Prepare(CALL.as_bytes().into()), vec![vec![error(number)]]).outcome,
-            outcome
-        );
+        assert_eq!(run(execution(CALL), vec![vec![error(number)]]).outcome, outcome);
+        assert_eq!(run(Request::Prepare(CALL.as_bytes().into()), vec![vec![error(number)]]).outcome, outcome);
     }
 }
 
@@ -139,8 +140,8 @@
 #[test]
 fn read_only_error_reports_the_role_although_the_statement_may_have_run() {
     let partial = [result_with_more(), vec![error(READ_ONLY)]].concat();
-    assert_eq!(run(&query(CALL), vec![partial]).response_report.primary, Some(false));
-    let overloaded = run(&query(CALL), vec![vec![error(1040)]]);
+    assert_eq!(run(query(CALL), vec![partial]).response_report.primary, Some(false));
+    let overloaded = run(query(CALL), vec![vec![error(1040)]]);
     assert_eq!(overloaded.response_report.primary, None);
 }
 
@@ -150,9 +151,9 @@
 fn unknown_statement_within_a_procedure_is_not_executed_again() {
     let unknown = || vec![error(UNKNOWN_STATEMENT)];
     let responses = || vec![prepared(), unknown(), prepared(), vec![OK.to_vec()]];
-    assert_eq!(run(&execution(CALL), responses()).outcome, Outcome::Error);
+    assert_eq!(run(execution(CALL), responses()).outcome, Outcome::Error);
     assert_eq!(
-        run(&execution(INSERT), responses()).outcome,
+        run(execution(INSERT), responses()).outcome,
         Outcome::Ok,
         "an atomic statement is prepared again"
     );
--- a/settings/src/limits/bounds.rs
+++ b/settings/src/limits/bounds.rs
@@ -18,6 +18,11 @@
 /// records.
 const CONNECTION_BYTES: usize = 24 * 1024;
 
+/// Largest number of sessions that are tracked without `[sessions]`.
+const MAX_LOCAL_SESSIONS: usize = 65_536;
+/// Memory for requests at least for each tracked session, in bytes: its record takes about half of it.
+const LOCAL_SESSION_BYTES: usize = 256;
+
 impl ProcessResources {
     /// Returns the number of descriptors that can be used without connections taking up more than half of the memory
     /// that the program leaves.
@@ -274,7 +279,7 @@
             clock_offset_us: 0,
             clock_poll_interval: Duration::from_secs(10),
             clock_poll_retry_delay: Duration::from_millis(200),
-            max_local_sessions: 65_536,
+            max_local_sessions: MAX_LOCAL_SESSIONS.min(resources.memory_for_requests() / LOCAL_SESSION_BYTES),
             max_registry_response_bytes: 8 << 20,
             registry_page_size: 1000,
             registry_read_timeout: Duration::from_secs(2),
@@ -359,6 +364,13 @@
         }
     }
 
+    /// Limits the number of client connections for a front that has two threads for each of them.
+    pub fn limit_clients_with_two_threads(&mut self, resources: ProcessResources) {
+        let client_bytes = 2 * CONNECTION_BYTES;
+        let max_clients = resources.memory_for_connections() * 3 / 4 / client_bytes;
+        self.max_client_connections = self.max_client_connections.min(max_clients);
+    }
+
     /// Reserves file descriptors for the admin listener. They are taken from backend connections first, down
     /// to half of those, then from client connections: two processes running in parallel have to accept all
     /// connections that the platform's front end opens. If there are few descriptors, fewer admin connections
--- a/settings/src/operator/mysql/bounds.rs
+++ b/settings/src/operator/mysql/bounds.rs
@@ -41,6 +41,7 @@
     let resources = ProcessResources { descriptors: sockets, memory_bytes: memory_mb << 20 };
     let times = RequestTimes { connect_timeout, backend_keepalive, longest_deadline };
     let mut limits = Limits::new(resources, times);
+    limits.limit_clients_with_two_threads(resources);
     limits.max_message_bytes = value_or(v, "message_bytes", 512 * 1024, unsigned_integer)? as usize;
     limits.max_response_bytes =
         value_or(v, "answer_bytes", limits.max_response_bytes as u64, unsigned_integer)? as usize;
