Decision: a group without members is forgotten with its last queued request

Change: the entry goes with its last queued request unless the group has members. Test: groups_without_members_are_forgotten_with_their_last_request fails before.

--- a/decision/src/router.rs
+++ b/decision/src/router.rs
@@ -197,6 +197,11 @@
         actions.append(&mut self.actions);
     }
 
+    /// The number of groups that have listed members or queued requests.
+    pub fn group_count(&self) -> usize {
+        self.groups.len()
+    }
+
     /// The number of listed members that get no new work: draining members, and ejected members whose
     /// ejection no probe has ended yet.
     pub fn unavailable_member_count(&self) -> usize {
--- a/decision/src/router/admission.rs
+++ b/decision/src/router/admission.rs
@@ -129,7 +129,13 @@
     pub(super) fn dequeue(&mut self, id: RequestId) {
         if let Some(pending) = self.requests.get_mut(&id).filter(|p| p.queued) {
             pending.queued = false;
-            self.groups.entry(pending.request.group).or_default().queued.retain(|q| *q != id);
+            let group_id = pending.request.group;
+            let Some(group) = self.groups.get_mut(&group_id) else { return };
+            group.queued.retain(|q| *q != id);
+            // A client may name any group.
+            if group.members.is_empty() && group.queued.is_empty() {
+                self.groups.remove(&group_id);
+            }
         }
     }
 
--- a/decision/tests/admission.rs
+++ b/decision/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Rejection of requests that cannot be served in time.
 mod common;
 use common::{DEDUPLICATED, MS, TestRouter, is_failed, is_rejected, sent_attempts, settings};
-use decision::{Action, Event, Idempotency, MemberId, Outcome, Time};
+use decision::{Action, Event, GroupId, Idempotency, MemberId, Outcome, Request, RequestId, Router, Time};
 
 #[test]
 fn queued_read_is_rejected_once_with_retry_after() {
@@ -70,3 +70,30 @@
         }
     }
 }
+
+/// Guards against memory that grows with each group that clients name, although no server has ever belonged to it.
+#[test]
+fn groups_without_members_are_forgotten_with_their_last_request() {
+    const REQUESTS: u64 = 100;
+    let mut router = Router::new(settings(DEDUPLICATED), 1);
+    let mut actions = Vec::new();
+    let mut open: Vec<RequestId> = Vec::new();
+    for number in 0..REQUESTS {
+        let request = Request {
+            id: RequestId(number),
+            class: 4,
+            tenant: 0,
+            session: None,
+            group: GroupId(1000 + number as u32),
+            deadline: Time(1200 * MS),
+            session_commit: None,
+            may_run_partially: false,
+        };
+        open.push(request.id);
+        router.handle(Time(0), Event::RequestArrived(request), &mut actions);
+    }
+    for request in open {
+        router.handle(Time(MS), Event::ClientDisconnected { request }, &mut actions);
+    }
+    assert_eq!(router.group_count(), 0);
+}
