Soak: an absence that still lasts no longer overflows in the oracles

Change: saturating. Test: absence_that_lasts_to_the_end_excuses_what_a_long_one_does fails before (release build).

--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -110,6 +110,13 @@
     pub to: Micros,
 }
 
+impl Absence {
+    /// Returns the end of the absence plus a tolerance; [`Micros::MAX`] while the absence lasts.
+    pub fn end_with_slack(&self, slack: Micros) -> Micros {
+        self.to.saturating_add(slack)
+    }
+}
+
 /// A server that must receive no new requests because it drains or is in maintenance.
 #[derive(Clone, Copy, Debug)]
 pub struct Withdrawal {
--- a/soak/src/oracle/requests.rs
+++ b/soak/src/oracle/requests.rs
@@ -170,7 +170,7 @@
     fn shutting_down_since(&self, at: Micros) -> Option<Micros> {
         absences_of(self.history, self.request.router)
             .filter(|absence| absence.reason == AbsenceReason::ShutDown)
-            .find(|absence| absence.from <= at && at <= absence.to + SCHEDULING_SLACK)
+            .find(|absence| absence.from <= at && at <= absence.end_with_slack(SCHEDULING_SLACK))
             .map(|absence| absence.from)
     }
 
--- a/soak/src/oracle/servers.rs
+++ b/soak/src/oracle/servers.rs
@@ -38,7 +38,7 @@
         let absences = absences_of(history, router).filter(|a| a.reason != AbsenceReason::Paused);
         let after_absence = absences
             .filter(|a| a.from <= notified_at && notified_at < a.to)
-            .map(|a| a.to + MAX_NOTIFICATION_TIME)
+            .map(|a| a.end_with_slack(MAX_NOTIFICATION_TIME))
             .max();
         match after_outage.max(after_absence) {
             Some(later) if later > notified_at => notified_at = later,
@@ -63,7 +63,7 @@
     // A process that restarts may learn of the withdrawal later.
     let notified_at = notified_at(history, withdrawal, attempt.router);
     let paused = paused_time(history, attempt.router, notified_at, at);
-    if at <= notified_at + DRAIN_GRACE + SCHEDULING_SLACK + paused {
+    if at <= notified_at.saturating_add(DRAIN_GRACE + SCHEDULING_SLACK + paused) {
         return None;
     }
     let text = format!(
--- a/soak/tests/oracle.rs
+++ b/soak/tests/oracle.rs
@@ -9,7 +9,7 @@
     Sample, ServerStart, SessionRead, SessionWrites, Stall, StoreRecord, UnexpectedResponse, Withdrawal,
 };
 use soak::oracle::{Promise, check};
-use soak::time::SECOND;
+use soak::time::{Micros, SECOND};
 
 /// Returns a valid history: a request that was served in 50 ms, and its attempt.
 fn history() -> History {
@@ -75,6 +75,25 @@
     assert_eq!(broken_promises(closed_early), [Promise::Lost]);
 }
 
+/// Guards against an oracle that reports a request as lost, or misses a drained server, because the end of an absence
+/// that still lasts plus a tolerance is before its start.
+#[test]
+fn absence_that_lasts_to_the_end_excuses_what_a_long_one_does() {
+    for to in [20 * SECOND, Micros::MAX] {
+        let closed_late_in_a_shutdown = |h: &mut History| {
+            (h.requests[0].outcome, h.attempts) = (Outcome::Closed, Vec::new());
+            h.absences.push(absence(AbsenceReason::ShutDown, 9 * SECOND, to));
+        };
+        assert_eq!(broken_promises(closed_late_in_a_shutdown), [], "{to}");
+        let withdrawn_while_the_process_was_gone = |h: &mut History| {
+            let (notified_at, until) = (5 * SECOND, 29 * SECOND);
+            h.withdrawals.push(Withdrawal { server: 0, router: None, notified_at, until });
+            h.absences.push(absence(AbsenceReason::Killed, 4 * SECOND, to));
+        };
+        assert_eq!(broken_promises(withdrawn_while_the_process_was_gone), [], "{to}");
+    }
+}
+
 #[test]
 fn late_and_mismatched_responses_are_found() {
     assert_eq!(broken_promises(|h| h.requests[0].ended_at = 12 * SECOND), [Promise::Late]);
