--- a/client-listener/src/memory.rs
+++ b/client-listener/src/memory.rs
@@ -5,7 +5,10 @@
 //! they are written to their clients. A client gets an error if there is no memory for its request, which has not run then.
 //! A response waits for memory at the connection to its server, so that it is not lost after its request has run.
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Minimum interval between two log lines about used up memory.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Denominator of a pool's part that long messages cannot use, so that it is left for requests and responses.
 const MESSAGE_RESERVE_DIVISOR: usize = 2;
@@ -30,6 +33,7 @@
     available_bytes: isize,
     /// Number of responses that wait for memory.
     waiting: usize,
+    last_logged_at: Option<Instant>,
 }
 
 impl State {
@@ -41,12 +45,22 @@
         }
         is_available
     }
+
+    /// Logs that no memory was available for something of this length.
+    fn log_refusal(&mut self, bytes: usize) {
+        let now = Instant::now();
+        if self.last_logged_at.is_none_or(|at| now - at >= LOG_INTERVAL) {
+            self.last_logged_at = Some(now);
+            let (size, available) = (self.size, self.available_bytes);
+            tracing::warn!(bytes, available, size, "memory for clients used up");
+        }
+    }
 }
 
 impl MemoryPool {
     /// Creates a pool of this many bytes, all of them available.
     pub fn new(bytes: usize) -> MemoryPool {
-        let state = State { size: bytes, available_bytes: bytes as isize, waiting: 0 };
+        let state = State { size: bytes, available_bytes: bytes as isize, waiting: 0, last_logged_at: None };
         MemoryPool(Arc::new(Shared { state: Mutex::new(state), released: Condvar::new() }))
     }
 
@@ -120,6 +134,7 @@
             drop(used);
             let remaining = deadline.saturating_duration_since(Instant::now());
             if remaining.is_zero() {
+                state.log_refusal(bytes);
                 return None;
             }
             state.waiting += 1;
@@ -203,6 +218,8 @@
         let is_reserved = state.try_take(missing, kept_free);
         if is_reserved {
             self.bytes += missing;
+        } else {
+            state.log_refusal(missing);
         }
         is_reserved
     }
