--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -9,6 +9,7 @@
 use common::discovery::Discovery;
 use common::environment::TestFolder;
 use common::platform::config;
+use common::process_memory::peak_mib;
 use common::program::Program;
 use common::scripted_instance::ScriptedInstance;
 use common::wire::message;
@@ -21,9 +22,6 @@
 const MEMORY_LIMIT_MIB: u64 = 32;
 /// The most descriptors of a router.
 const DESCRIPTORS: u64 = 1024;
-/// Memory of the program's code in a release build, in MiB. A debug build has several times as much, so that the tests
-/// replace its code by this figure.
-const RELEASE_CODE_MIB: f64 = 7.0;
 /// Number of clients; as many as the router has descriptors for.
 const CLIENTS: usize = 700;
 /// Time for which the clients go on.
@@ -65,27 +63,15 @@
         Setup { router, addr, value, _discovery: discovery, _folder: folder, _crowd_guard: crowd_guard }
     }
 
-    fn memory_mib(&self, field: &str) -> f64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.router.child.id())).unwrap();
-        let value = status.lines().find_map(|line| line.strip_prefix(field)).unwrap();
-        value.trim().trim_end_matches("kB").trim().parse::<f64>().unwrap() / 1024.0
-    }
-
-    /// Peak of the process's memory, in MiB.
-    fn peak_mib(&self) -> f64 {
-        let peak = self.memory_mib("VmHWM:");
-        if cfg!(debug_assertions) { peak - self.memory_mib("RssFile:") + RELEASE_CODE_MIB } else { peak }
-    }
-
     /// Runs a crowd for each plan at once, and checks the peak of the process's memory.
     fn assert_memory_limit_holds(mut self, plans: &[ClientPlan]) {
-        println!("before: {} MiB", self.peak_mib());
+        println!("before: {} MiB", peak_mib(&self.router));
         let deadline = Instant::now() + DURATION;
         let clients = CLIENTS / plans.len();
         let crowds: Vec<_> =
             plans.iter().map(|plan| start_crowd(self.addr, clients, plan, deadline)).collect();
         crowds.into_iter().flatten().for_each(|thread| thread.join().unwrap());
-        let peak = self.peak_mib();
+        let peak = peak_mib(&self.router);
         println!("peak: {peak} MiB");
         // The router serves clients again once the crowd has left.
         Client::connect(self.addr).query_until_served_by(&select("after", 1900), self.value);
--- a/tests/mysql_floods.rs
+++ b/tests/mysql_floods.rs
@@ -5,6 +5,8 @@
 
 use common::TIMEOUT;
 use common::environment::TestFolder;
+use common::mysql_login::till_login;
+use common::process_memory::memory_mib;
 use common::program::Program;
 use mysql::prelude::Queryable;
 use mysql::{Conn, OptsBuilder};
@@ -59,27 +61,12 @@
         let options = OptsBuilder::new().ip_or_hostname(Some("127.0.0.1")).tcp_port(self.addr.port());
         Conn::new(options.prefer_socket(false).user(Some("till"))).unwrap()
     }
-
-    fn memory_mib(&self) -> f64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.router.child.id())).unwrap();
-        let value = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
-        value.trim().trim_end_matches("kB").trim().parse::<f64>().unwrap() / 1024.0
-    }
 }
 
 fn raw_client(addr: SocketAddr) -> TcpStream {
-    let capabilities = wire::CLIENT_PROTOCOL_41 | wire::CLIENT_SECURE_CONNECTION | wire::CLIENT_PLUGIN_AUTH;
-    let login = [
-        &capabilities.to_le_bytes()[..],
-        &[0; 4],
-        &[wire::CHARACTER_SET],
-        &[0; 23],
-        b"till\0\0mysql_native_password\0",
-    ]
-    .concat();
     let mut socket = TcpStream::connect(addr).unwrap();
     wire::read(&socket).unwrap();
-    socket.write_all(&packets(1, &[&login])).unwrap();
+    socket.write_all(&till_login()).unwrap();
     wire::read(&socket).unwrap();
     socket
 }
@@ -127,7 +114,7 @@
     ];
     let setup = Setup::start();
     for (name, command) in floods {
-        let before = setup.memory_mib();
+        let before = memory_mib(&setup.router, "RssAnon:");
         let addr = setup.addr;
         let flooding = std::thread::spawn(move || flood(addr, command));
         let (mut client, mut longest) = (setup.client(), Duration::ZERO);
@@ -137,7 +124,7 @@
             longest = longest.max(sent_at.elapsed());
         }
         let sent = flooding.join().unwrap();
-        let growth = setup.memory_mib() - before;
+        let growth = memory_mib(&setup.router, "RssAnon:") - before;
         println!(
             "{name}: {sent} commands, other client's longest response {longest:?}, memory {growth:+.1} MiB"
         );
--- a/tests/mysql_memory.rs
+++ b/tests/mysql_memory.rs
@@ -6,6 +6,8 @@
 use common::TIMEOUT;
 use common::crowd::{ClientPlan, start_crowd};
 use common::environment::TestFolder;
+use common::mysql_login::till_login;
+use common::process_memory::peak_mib;
 use common::program::Program;
 use mysql::prelude::Queryable;
 use mysql::{Conn, OptsBuilder};
@@ -17,9 +19,6 @@
 
 /// Memory limit of the router, in MiB.
 const MEMORY_LIMIT_MIB: f64 = 32.0;
-/// Memory of the program's code in a release build, in MiB. A debug build has several times as much, so that the tests
-/// replace its code by this figure.
-const RELEASE_CODE_MIB: f64 = 7.0;
 const CLIENTS: usize = 300;
 const DURATION: Duration = Duration::from_secs(5);
 /// More bytes than any request has.
@@ -120,47 +119,22 @@
         }
     }
 
-    fn memory_mib(&self, field: &str) -> f64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.router.child.id())).unwrap();
-        let value = status.lines().find_map(|line| line.strip_prefix(field)).unwrap();
-        value.trim().trim_end_matches("kB").trim().parse::<f64>().unwrap() / 1024.0
-    }
-
-    /// Peak of the process's memory, in MiB.
-    fn peak_mib(&self) -> f64 {
-        let peak = self.memory_mib("VmHWM:");
-        if cfg!(debug_assertions) { peak - self.memory_mib("RssFile:") + RELEASE_CODE_MIB } else { peak }
-    }
-
     /// Runs a crowd for each plan at once, and checks the peak of the process's memory.
     fn assert_memory_limit_holds(mut self, plans: &[ClientPlan]) {
-        println!("before: {} MiB", self.peak_mib());
+        println!("before: {} MiB", peak_mib(&self.router));
         let deadline = Instant::now() + DURATION;
         let clients = CLIENTS / plans.len();
         let crowds: Vec<_> =
             plans.iter().map(|plan| start_crowd(self.addr, clients, plan, deadline)).collect();
         crowds.into_iter().flatten().for_each(|thread| thread.join().unwrap());
         self.assert_serves();
-        let peak = self.peak_mib();
+        let peak = peak_mib(&self.router);
         println!("peak: {peak} MiB");
         assert_eq!(self.router.child.try_wait().unwrap(), None, "the router has ended");
         assert!(peak < MEMORY_LIMIT_MIB, "peak {peak} MiB, limit {MEMORY_LIMIT_MIB} MiB");
     }
 }
 
-fn login() -> Vec<u8> {
-    let capabilities = wire::CLIENT_PROTOCOL_41 | wire::CLIENT_SECURE_CONNECTION | wire::CLIENT_PLUGIN_AUTH;
-    let payload = [
-        &capabilities.to_le_bytes()[..],
-        &[0; 4],
-        &[wire::CHARACTER_SET],
-        &[0; 23],
-        b"till\0\0mysql_native_password\0",
-    ]
-    .concat();
-    packets(1, &[&payload])
-}
-
 fn command(parts: &[&[u8]]) -> Vec<u8> {
     packets(0, &[&parts.concat()])
 }
@@ -168,7 +142,7 @@
 /// A client that reads what it is sent and waits for each response.
 fn patient() -> ClientPlan {
     ClientPlan {
-        login: login(),
+        login: till_login(),
         request: Vec::new(),
         sent_at_once: UNLIMITED,
         sent_per_tick: UNLIMITED,
@@ -213,14 +187,14 @@
     let statements = prepare(b"select long ?").repeat(20);
     let part = |id: u8| command(&[&[24, id, 0, 0, 0, 0, 0], &vec![b'p'; 100_000]]);
     let request: Vec<u8> = (1..=20).flat_map(part).collect();
-    ClientPlan { login: [login(), statements].concat(), request, response_bytes: 0, ..patient() }
+    ClientPlan { login: [till_login(), statements].concat(), request, response_bytes: 0, ..patient() }
 }
 
 fn opens_cursors() -> ClientPlan {
     let statements = prepare(b"select long ?").repeat(20);
     let execute = |id: u8| command(&[&[23, id, 0, 0, 0, 1, 1, 0, 0, 0, 0, 1, 0xfd, 0, 1, b'p']]);
     let request: Vec<u8> = (1..=20).flat_map(execute).collect();
-    ClientPlan { login: [login(), statements].concat(), request, response_bytes: 0, ..patient() }
+    ClientPlan { login: [till_login(), statements].concat(), request, response_bytes: 0, ..patient() }
 }
 
 fn reads_slowly() -> ClientPlan {
--- a/tests/session_isolation.rs
+++ b/tests/session_isolation.rs
@@ -6,6 +6,7 @@
 
 use common::TIMEOUT;
 use common::environment::TestFolder;
+use common::mysql_login::login;
 use common::program::Program;
 use mysql::prelude::Queryable;
 use mysql::{Conn, OptsBuilder};
@@ -189,22 +190,10 @@
 
 /// Logs in with this collation ID, and returns the first payload of the response to a statement.
 fn query_with_collation(addr: SocketAddr, collation: u8, statement: &[u8]) -> Vec<u8> {
-    let capabilities = wire::CLIENT_PROTOCOL_41 | wire::CLIENT_SECURE_CONNECTION | wire::CLIENT_PLUGIN_AUTH;
-    let max_payload = 1_u32 << 24;
-    let login = [
-        &capabilities.to_le_bytes()[..],
-        &max_payload.to_le_bytes(),
-        &[collation],
-        &[0; 23],
-        b"import\0",
-        &[0],
-        b"mysql_native_password\0",
-    ]
-    .concat();
     let mut socket = TcpStream::connect(addr).unwrap();
     socket.set_read_timeout(Some(TIMEOUT)).unwrap();
     wire::read(&socket).unwrap();
-    socket.write_all(&wire::packets(1, &[&login])).unwrap();
+    socket.write_all(&login("import", collation)).unwrap();
     assert_eq!(wire::read(&socket).unwrap()[0], wire::OK_HEADER);
     socket.write_all(&wire::packets(0, &[&[&[wire::COMMAND_QUERY], statement].concat()])).unwrap();
     wire::read(&socket).unwrap()
