MySQL: responses of usual length do not wait for memory behind long ones

Seen while the landing was prepared: each response above 8 KiB reserved as much as the longest one needs, so that at 32 MB one such response was read at a time.

Change: the first reservation is a share of which those of all connections take a quarter of the pool; only a longer response reserves as much as the longest needs, and keeps what it has while it waits.

--- a/client-listener/src/memory.rs
+++ b/client-listener/src/memory.rs
@@ -119,29 +119,22 @@
     /// Reserves memory for a response, and waits for it until the deadline. Returns `None` if there is none by then:
     /// the client does not read its earlier responses, or other clients use all memory.
     ///
-    /// A client without any response in memory gets more than its share if its response is longer.
+    /// A client without any other response in memory gets more than its share if its response is longer.
     pub fn reserve_response(&self, bytes: usize, deadline: Instant) -> Option<ResponseMemory> {
-        let mut state = self.pool.state();
-        // A response that is as long as the whole pool gets all of it.
-        let bytes = bytes.min(state.size);
-        loop {
-            let mut used = self.response_bytes();
-            let share = state.size / RESPONSE_SHARE_DIVISOR;
-            if (*used == 0 || *used + bytes <= share) && state.try_take(bytes, 0) {
-                *used += bytes;
-                return Some(ResponseMemory { client: self.clone(), bytes });
-            }
-            drop(used);
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            if remaining.is_zero() {
-                state.log_refusal(bytes);
-                return None;
-            }
-            state.waiting += 1;
-            state =
-                self.pool.0.released.wait_timeout(state, remaining).unwrap_or_else(PoisonError::into_inner).0;
-            state.waiting -= 1;
+        let mut memory = ResponseMemory { client: self.clone(), bytes: 0 };
+        memory.grow_to(bytes, deadline).then_some(memory)
+    }
+
+    /// Takes bytes for a response that has `held` bytes already.
+    fn try_take(&self, state: &mut State, bytes: usize, held: usize) -> bool {
+        let mut used = self.response_bytes();
+        let share = state.size / RESPONSE_SHARE_DIVISOR;
+        let is_within_share = *used == held || *used + bytes <= share;
+        let is_taken = is_within_share && state.try_take(bytes, 0);
+        if is_taken {
+            *used += bytes;
         }
+        is_taken
     }
 
     fn response_bytes(&self) -> MutexGuard<'_, usize> {
@@ -162,6 +155,27 @@
         self.bytes
     }
 
+    /// Grows the reservation to a total of `bytes`, and waits for the memory until the deadline. Returns `false`, and leaves
+    /// the reservation unchanged, if there is none by then. A response that is longer than the pool gets all of it.
+    #[must_use]
+    pub fn grow_to(&mut self, bytes: usize, deadline: Instant) -> bool {
+        let pool = self.client.pool.clone();
+        let mut state = pool.state();
+        let missing = bytes.min(state.size).saturating_sub(self.bytes);
+        while !self.client.try_take(&mut state, missing, self.bytes) {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            if remaining.is_zero() {
+                state.log_refusal(missing);
+                return false;
+            }
+            state.waiting += 1;
+            state = pool.0.released.wait_timeout(state, remaining).unwrap_or_else(PoisonError::into_inner).0;
+            state.waiting -= 1;
+        }
+        self.bytes += missing;
+        true
+    }
+
     /// Returns what is reserved beyond `bytes` to the pool.
     pub fn shrink_to(&mut self, bytes: usize) {
         let surplus = self.bytes.saturating_sub(bytes);
--- a/client-listener/tests/memory.rs
+++ b/client-listener/tests/memory.rs
@@ -56,6 +56,22 @@
     assert_eq!(pool.available_bytes(), POOL_BYTES as isize);
 }
 
+/// Guards against responses that wait for each other although there is memory for both.
+#[test]
+fn response_grows_while_there_is_memory() {
+    let pool = MemoryPool::new(POOL_BYTES);
+    let (first, second) = (ClientMemory::new(&pool), ClientMemory::new(&pool));
+    let mut long = first.reserve_response(300, now()).unwrap();
+    let other = second.reserve_response(300, now()).unwrap();
+    assert!(long.grow_to(1300, now()), "a client's only response may exceed the share");
+    assert!(!long.grow_to(1301, now()));
+    assert!(first.reserve_response(1, now()).is_none(), "the client has used its share");
+    let growing = std::thread::spawn(move || long.grow_to(POOL_BYTES, now() + TIMEOUT));
+    drop(other);
+    assert!(growing.join().unwrap(), "the response must get the memory that was released");
+    assert_eq!(pool.available_bytes(), POOL_BYTES as isize);
+}
+
 #[test]
 fn pool_that_was_made_smaller_gives_nothing_until_enough_is_returned() {
     let pool = MemoryPool::new(POOL_BYTES);
--- a/mysql/src/backend/connection.rs
+++ b/mysql/src/backend/connection.rs
@@ -291,7 +291,7 @@
             state.advance(&packet.payload);
             bytes += packet.payload.len() + PACKET_HEADER_BYTES;
             if let Some(budget) = &mut self.response_budget
-                && !budget.add_payload(packet.payload.len(), self.context.limits.max_response_bytes)
+                && !budget.add_payload(packet.payload.len(), &self.context.limits)
             {
                 return Err(ResponseError::Failed(Outcome::TimedOut));
             }
--- a/mysql/src/backend/response_budget.rs
+++ b/mysql/src/backend/response_budget.rs
@@ -1,5 +1,6 @@
 //! Memory of the response that a connection reads.
 use client_listener::memory::{ClientMemory, ResponseMemory};
+use settings::Limits;
 use std::time::Instant;
 
 /// Memory up to which a response counts as part of its connection, in bytes.
@@ -7,6 +8,9 @@
 /// Memory of a payload besides its bytes: its entry in the list of payloads, and what the allocator adds.
 const PAYLOAD_RECORD_BYTES: usize = 64;
 
+/// Denominator of the part of the pool that the first reservations of all connections to servers take at most.
+const FIRST_STEP_DIVISOR: usize = 4;
+
 /// Counts the memory of a response and reserves it on the account of its client.
 pub(super) struct ResponseBudget {
     client: ClientMemory,
@@ -23,22 +27,28 @@
 
     /// Counts one more payload. Returns `false` if there is no memory for it by the deadline.
     ///
-    /// The length of a response is not known before its end. One that is not short reserves `max_response_bytes` at once,
-    /// so that responses do not wait for each other while each holds a part.
-    pub(super) fn add_payload(&mut self, payload_bytes: usize, max_response_bytes: usize) -> bool {
+    /// The length of a response is not known before its end. The first reservation is so small that those of all connections
+    /// leave most of the pool free; a longer response then reserves as much as the longest one needs. So responses do not
+    /// wait for each other while each holds a part, and those of usual length do not wait for long ones.
+    pub(super) fn add_payload(&mut self, payload_bytes: usize, limits: &Limits) -> bool {
         self.used_bytes += payload_bytes + PAYLOAD_RECORD_BYTES;
         let reserved_bytes = self.reserved.as_ref().map_or(SHORT_RESPONSE_BYTES, ResponseMemory::bytes);
         if self.used_bytes <= reserved_bytes {
             return true;
         }
-        let bytes = max_response_bytes.max(2 * self.used_bytes).min(self.client.pool().size());
-        if self.reserved.is_some() && bytes <= reserved_bytes {
+        let pool_bytes = self.client.pool().size();
+        let first_step = pool_bytes / FIRST_STEP_DIVISOR / limits.max_backend_connections.max(1);
+        let whole = limits.max_response_bytes.max(2 * self.used_bytes).min(pool_bytes);
+        let bytes = if self.used_bytes <= first_step { first_step } else { whole };
+        match &mut self.reserved {
             // The response has all memory that there is.
-            return false;
+            Some(reserved) if bytes <= reserved.bytes() => false,
+            Some(reserved) => reserved.grow_to(bytes, self.deadline),
+            None => {
+                self.reserved = self.client.reserve_response(bytes, self.deadline);
+                self.reserved.is_some()
+            }
         }
-        self.reserved = None;
-        self.reserved = self.client.reserve_response(bytes, self.deadline);
-        self.reserved.is_some()
     }
 
     /// Returns what the complete response needs of the reserved memory.
