--- a/tests/operating.rs
+++ b/tests/operating.rs
@@ -939,9 +939,9 @@
 #[test]
 fn two_processes_share_request_memory_of_one_router() {
     let setup = TestSetup::new();
-    let routers = setup.start_pair(|config| config["limits"]["memory_mb"] = json!(16));
+    let routers = setup.start_pair(|config| config["limits"]["memory_mb"] = json!(26));
     setup.primary.0.set_behavior(Behavior::Silent);
-    // One router may use a quarter of the memory for requests. 17 such statements fit, because each is stored
+    // One router may use 4 MiB for requests, a quarter of what the program itself leaves. 17 such statements fit, because each is stored
     // twice: in the buffer of its connection and in its request.
     let long = |n: usize| insert(&format!("m{n}"), 1900).replace("x9f", &format!("x{}", "9f".repeat(60_000)));
     let _sockets: Vec<TcpStream> = (0..60).map(|n| connect_and_send(routers[n % 2].addr, &long(n))).collect();
